--- /dev/null
+++ b/src/main/java/beamspread/Main.java
@@ -0,0 +1,34 @@
+package beamspread;
+
+import beamspread.node.Node;
+import beamspread.sim.SimHost;
+import beamspread.sim.WireException;
+import java.io.IOException;
+
+/** The program's commands. */
+public final class Main {
+  private static final String USAGE = "usage: beamspread simhost | serve";
+
+  private Main() {}
+
+  /** Runs the command named by the first word. */
+  public static void main(String[] args) throws InterruptedException {
+    switch (args.length == 1 ? args[0] : "") {
+      case "simhost" -> simhost();
+      case "serve" -> System.exit(Node.serve(System.getenv("ROUTER_CONFIG")));
+      default -> {
+        System.err.println(USAGE);
+        System.exit(2);
+      }
+    }
+  }
+
+  private static void simhost() {
+    try {
+      new SimHost(System.in, System.out).run();
+    } catch (WireException | IOException e) {
+      System.err.println("simhost: " + e.getMessage());
+      System.exit(1);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/beamspread/model/MembershipUpdate.java
@@ -0,0 +1,25 @@
+package beamspread.model;
+
+import java.util.List;
+
+/**
+ * News of the list of servers.
+ *
+ * @param kind what the entries mean
+ * @param version the list's version
+ * @param entries the lines that came with it
+ */
+public record MembershipUpdate(Kind kind, long version, List<ServerEntry> entries) {
+
+  /** What an update holds. */
+  public enum Kind {
+    /** The entries that changed. */
+    CHANGES,
+    /** The whole list. */
+    FULL,
+    /** The whole list as it was last known, perhaps old. */
+    REMEMBERED,
+    /** A call for the list failed, or the subscription broke. */
+    FAILED
+  }
+}
--- /dev/null
+++ b/src/main/java/beamspread/model/Request.java
@@ -0,0 +1,25 @@
+package beamspread.model;
+
+/**
+ * A client's request as it arrives.
+ *
+ * @param id its id, never used twice
+ * @param key what it is about; null where it names nothing
+ * @param serviceClass the name of its class
+ * @param tenant whose it is; null where there are no tenants
+ * @param budget seconds until the client gives this try up
+ * @param work the work expected of it in seconds of a standard core, 0 if unknown
+ * @param size the value's size in bytes, 0 if unknown
+ * @param repeat whether the client marked it as a repeat
+ * @param write whether it changes the value
+ */
+public record Request(
+    String id,
+    String key,
+    String serviceClass,
+    String tenant,
+    double budget,
+    double work,
+    double size,
+    boolean repeat,
+    boolean write) {}
--- /dev/null
+++ b/src/main/java/beamspread/node/Attempt.java
@@ -0,0 +1,33 @@
+package beamspread.node;
+
+/** One send of a request to one cache server. */
+final class Attempt {
+  final OpenRequest request;
+  final int number;
+  final long server;
+  final long sentAt = System.nanoTime();
+
+  /** When this node stops waiting for it. */
+  final long deadlineNanos;
+
+  Timers.Timer timeout;
+
+  /** The connection that it was written to, null while it waits for one. */
+  ServerConnection connection;
+
+  /** Whether its last byte was handed to the socket: from then on it may have run. */
+  boolean written;
+
+  /** Whether its outcome is settled; what the server says of it after that is dropped. */
+  boolean over;
+
+  /** Whether its answer is no longer wanted, though it may still come on its connection. */
+  boolean abandoned;
+
+  Attempt(OpenRequest request, int number, long server, long deadlineNanos) {
+    this.request = request;
+    this.number = number;
+    this.server = server;
+    this.deadlineNanos = deadlineNanos;
+  }
+}
--- /dev/null
+++ b/src/main/java/beamspread/node/ClientHandler.java
@@ -0,0 +1,259 @@
+package beamspread.node;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import java.io.IOException;
+import java.util.ArrayDeque;
+
+/** A client's connection: takes its commands and gives the answers in their order. */
+final class ClientHandler extends ChannelInboundHandlerAdapter {
+  /**
+   * Answers that one connection may be owed before no more is read from it. Guards against a client
+   * that sends commands and reads no answers.
+   */
+  private static final int MAX_OWED = 64;
+
+  /** How long a command may take to come; the protocol grants a client 2 s. */
+  private static final long MAX_COMMAND_NANOS = 5_000_000_000L;
+
+  /** How long a client may read nothing of what waits for it. */
+  private static final long MAX_STALL_NANOS = 10_000_000_000L;
+
+  private final Dispatcher dispatcher;
+  private final ClientConnections connections;
+  private final MetaCommand.Decoder decoder;
+  private final ArrayDeque<Slot> slots = new ArrayDeque<>();
+  private Channel channel;
+  private long midwaySince;
+  private long stalledSince;
+  private boolean used;
+  private boolean closing;
+
+  ClientHandler(Dispatcher dispatcher, ClientConnections connections, MetaCommand.Decoder decoder) {
+    this.dispatcher = dispatcher;
+    this.connections = connections;
+    this.decoder = decoder;
+  }
+
+  /** The place of one answer in the order of a connection's answers. */
+  final class Slot {
+    private OpenRequest request;
+
+    /** Bytes that wait for the answers before them, null if there are none. */
+    private ByteBuf waiting;
+
+    /** Where the rest of a long value comes from, null for an answer that is given whole. */
+    private ServerConnection source;
+
+    private boolean whole;
+    private boolean last;
+
+    /** Gives a line as the whole answer. */
+    void line(String text) {
+      ByteBuf line = channel.alloc().buffer(text.length() + 2);
+      ByteBufUtil.writeAscii(line, text);
+      whole(line.writeShort(0x0D0A));
+    }
+
+    /** Gives the whole answer. */
+    void whole(ByteBuf bytes) {
+      whole = true;
+      add(bytes);
+    }
+
+    /** Begins a long value, whose rest comes from a server's connection. */
+    void begin(ByteBuf bytes, ServerConnection from) {
+      source = from;
+      add(bytes);
+    }
+
+    /** Goes on with a long value. */
+    void piece(ByteBuf bytes, boolean end) {
+      whole = end;
+      add(bytes);
+    }
+
+    private void add(ByteBuf bytes) {
+      if (closing || !channel.isActive()) {
+        bytes.release();
+        return;
+      }
+      if (slots.peek() == this) {
+        channel.write(bytes, channel.voidPromise());
+        if (whole) {
+          advance();
+        } else if (!channel.isWritable()) {
+          source.pause();
+        }
+        channel.flush();
+        fallIdle();
+      } else {
+        waiting =
+            waiting == null
+                ? bytes
+                : channel.alloc().compositeBuffer(1 << 10).addComponents(true, waiting, bytes);
+        if (source != null) {
+          source.pause();
+        }
+      }
+    }
+
+    /** The rest of a value that was begun never comes: only the connection's end can tell that. */
+    void cutOff() {
+      if (slots.peek() == this) {
+        channel.close();
+        return;
+      }
+      // None of it has gone out: a failure can still be told in its place.
+      source = null;
+      if (waiting != null) {
+        waiting.release();
+        waiting = null;
+      }
+      line("SERVER_ERROR failed");
+    }
+  }
+
+  /** Goes on to the next answer once the first has been given, as far as those have come. */
+  private void advance() {
+    for (Slot slot = slots.peek(); slot != null; slot = slots.peek()) {
+      if (slot.waiting != null) {
+        channel.write(slot.waiting, channel.voidPromise());
+        slot.waiting = null;
+      }
+      if (!slot.whole) {
+        if (slot.source != null && channel.isWritable()) {
+          slot.source.resume();
+        }
+        break;
+      }
+      slots.poll();
+      if (slot.last) {
+        close();
+      }
+    }
+    steer();
+  }
+
+  private void fallIdle() {
+    if (slots.isEmpty() && !closing) {
+      connections.idle(this);
+    }
+  }
+
+  /** Reads on while the client reads its answers and is not owed too many. */
+  private void steer() {
+    channel.config().setAutoRead(channel.isWritable() && slots.size() < MAX_OWED);
+  }
+
+  @Override
+  public void handlerAdded(ChannelHandlerContext ctx) {
+    channel = ctx.channel();
+  }
+
+  @Override
+  public void channelActive(ChannelHandlerContext ctx) {
+    connections.opened(this);
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext ctx, Object message) {
+    MetaCommand command = (MetaCommand) message;
+    if (closing) {
+      command.release();
+      return;
+    }
+    connections.busy(this);
+    used = true;
+    Slot slot = new Slot();
+    slots.add(slot);
+    if (command.reply == null) {
+      slot.request = dispatcher.request(command, slot);
+    } else {
+      slot.last = command.lost;
+      slot.line(command.reply);
+    }
+    if (slots.size() >= MAX_OWED) {
+      steer();
+    }
+  }
+
+  @Override
+  public void channelReadComplete(ChannelHandlerContext ctx) {
+    midwaySince = !decoder.midway() ? 0 : midwaySince == 0 ? System.nanoTime() : midwaySince;
+    if (midwaySince != 0) {
+      connections.busy(this);
+    } else {
+      fallIdle();
+    }
+  }
+
+  @Override
+  public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+    stalledSince = channel.isWritable() ? 0 : System.nanoTime();
+    Slot head = slots.peek();
+    if (head != null && head.source != null && channel.isWritable()) {
+      head.source.resume();
+    }
+    steer();
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext ctx) {
+    connections.closed(this);
+    for (Slot slot = slots.poll(); slot != null; slot = slots.poll()) {
+      if (slot.waiting != null) {
+        slot.waiting.release();
+      }
+      if (slot.request != null) {
+        dispatcher.clientGone(slot.request);
+      }
+      if (slot.source != null && !slot.whole) {
+        slot.source.drop();
+      }
+    }
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+    if (!(cause instanceof IOException)) {
+      dispatcher.report("client connection", cause);
+    }
+    ctx.close();
+  }
+
+  /** Whether nothing is owed and no command has begun. */
+  boolean isIdle() {
+    return slots.isEmpty() && !decoder.midway();
+  }
+
+  /** Whether a command has ever come. */
+  boolean isUsed() {
+    return used;
+  }
+
+  /**
+   * Closes the connection once all that was written has gone out. Guards against losing the answer
+   * after which a connection falls idle: a plain close drops what is not flushed.
+   */
+  void close() {
+    closing = true;
+    channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+  }
+
+  /**
+   * Closes the connection of a client that stopped halfway through a command, or that has long read
+   * nothing: either would hold memory and a descriptor for good.
+   */
+  void closeIfStuck(long now) {
+    if ((midwaySince != 0 && now - midwaySince > MAX_COMMAND_NANOS)
+        || (stalledSince != 0 && now - stalledSince > MAX_STALL_NANOS)) {
+      channel.close();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/beamspread/node/DiscoveryClient.java
@@ -0,0 +1,244 @@
+package beamspread.node;
+
+import beamspread.sim.Message;
+import beamspread.sim.WireException;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Asks discovery for the list of servers. Where the list must be asked for, a call is made only
+ * when the module says so, and its failure is told; where it is pushed, a watch is kept up here.
+ */
+final class DiscoveryClient {
+  private static final String PATH = "/catalog/members";
+
+  /**
+   * How long discovery may say nothing: a watch sends at least an empty line every 2 s, and a call
+   * waits in turn for about as long.
+   */
+  private static final long MAX_SILENCE_MILLIS = 4500;
+
+  private static final int CONNECT_TIMEOUT_MILLIS = 2000;
+  private static final long RETRY_MILLIS = 500;
+
+  /** Longest line, for thousands of servers. */
+  private static final int MAX_LINE = 4 << 20;
+
+  private final EventLoop loop;
+  private final InetSocketAddress address;
+  private final boolean asked;
+  private final Dispatcher dispatcher;
+  private long version;
+  private Call watch;
+
+  DiscoveryClient(
+      EventLoop loop,
+      InetSocketAddress address,
+      boolean asked,
+      long version,
+      Dispatcher dispatcher) {
+    this.loop = loop;
+    this.address = address;
+    this.asked = asked;
+    this.version = version;
+    this.dispatcher = dispatcher;
+  }
+
+  /** Follows the changes from the version last seen on. */
+  void follow() {
+    stop();
+    watch = new Call(true);
+  }
+
+  /** Stops following. */
+  void stop() {
+    if (watch != null) {
+      watch.end();
+      watch = null;
+    }
+  }
+
+  /** Asks once for the whole list. */
+  void readOnce() {
+    new Call(false);
+  }
+
+  private void failed(Call call, String why) {
+    if (call == watch) {
+      watch = null;
+    }
+    if (asked) {
+      dispatcher.listFailed(why);
+    } else {
+      loop.schedule(
+          () -> {
+            if (watch == null) {
+              follow();
+            }
+          },
+          RETRY_MILLIS,
+          TimeUnit.MILLISECONDS);
+    }
+  }
+
+  /** One call and its answer. */
+  private final class Call extends SimpleChannelInboundHandler<HttpObject> {
+    private final boolean follows;
+    private final ByteBuf line = Unpooled.buffer();
+    private final Channel channel;
+    private long heardAt = System.nanoTime();
+    private boolean over;
+
+    Call(boolean follows) {
+      this.follows = follows;
+      Bootstrap bootstrap =
+          new Bootstrap()
+              .group(loop)
+              .channel(NioSocketChannel.class)
+              .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+              .handler(
+                  new ChannelInitializer<>() {
+                    @Override
+                    protected void initChannel(Channel ch) {
+                      ch.pipeline().addLast(new HttpClientCodec(), Call.this);
+                    }
+                  });
+      var connected = bootstrap.connect(address);
+      channel = connected.channel();
+      connected.addListener(
+          done -> {
+            if (done.isSuccess()) {
+              ask();
+            } else {
+              fail("no connection");
+            }
+          });
+      listen();
+    }
+
+    private void ask() {
+      String path = follows ? PATH + "?follow=1&since=" + version : PATH;
+      var request =
+          new DefaultFullHttpRequest(
+              HttpVersion.HTTP_1_1, HttpMethod.GET, path, Unpooled.EMPTY_BUFFER);
+      request
+          .headers()
+          .set(
+              HttpHeaderNames.HOST,
+              address.getAddress().getHostAddress() + ":" + address.getPort());
+      channel.writeAndFlush(request);
+    }
+
+    /** Guards against discovery falling silent, where its connections stay open. */
+    private void listen() {
+      loop.schedule(
+          () -> {
+            long silent = (System.nanoTime() - heardAt) / 1_000_000;
+            if (silent >= MAX_SILENCE_MILLIS) {
+              fail("silent");
+            } else if (!over) {
+              listen();
+            }
+          },
+          MAX_SILENCE_MILLIS / 8,
+          TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, HttpObject message)
+        throws WireException {
+      if (over) {
+        return;
+      }
+      heardAt = System.nanoTime();
+      if (message.decoderResult().isFailure()) {
+        fail("malformed answer");
+        return;
+      }
+      if (message instanceof HttpResponse response
+          && !response.status().equals(HttpResponseStatus.OK)) {
+        fail("answered " + response.status().code());
+        return;
+      }
+      if (message instanceof HttpContent content) {
+        take(content.content());
+        if (message instanceof LastHttpContent && !over) {
+          if (follows) {
+            fail("watch ended");
+          } else {
+            end();
+            list(line);
+          }
+        }
+      }
+    }
+
+    private void take(ByteBuf bytes) throws WireException {
+      line.writeBytes(bytes);
+      while (follows && !over) {
+        int length = line.bytesBefore((byte) '\n');
+        if (length < 0) {
+          break;
+        }
+        list(line.readSlice(length));
+        line.skipBytes(1);
+      }
+      line.discardReadBytes();
+      if (line.readableBytes() > MAX_LINE) {
+        throw new WireException("line too long");
+      }
+    }
+
+    private void list(ByteBuf text) throws WireException {
+      String json = text.toString(StandardCharsets.UTF_8);
+      if (!json.isBlank()) {
+        MemberList list = MemberList.parse(Message.parse(json));
+        version = list.version();
+        dispatcher.list(list);
+      }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+      fail("connection ended");
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+      fail(cause.getMessage());
+    }
+
+    private void fail(String why) {
+      if (!over) {
+        end();
+        failed(this, why);
+      }
+    }
+
+    void end() {
+      over = true;
+      channel.close();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/beamspread/node/Dispatcher.java
@@ -0,0 +1,413 @@
+package beamspread.node;
+
+import beamspread.model.LoadReport;
+import beamspread.model.MembershipUpdate;
+import beamspread.model.Outcome;
+import beamspread.model.Settings;
+import beamspread.policy.Actions;
+import beamspread.policy.Balancer;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.EventLoop;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Stands between the decision module and the sockets: tells it what happens, one event after the
+ * other, and carries out what it decides. All of it runs on the event loop.
+ */
+final class Dispatcher implements Actions {
+  /**
+   * The node stops waiting for an attempt this long before the client stops waiting for the node,
+   * so that the module hears of the time-out before it must answer, and the answer is in time.
+   */
+  private static final long ANSWER_MARGIN_NANOS = 2_000_000;
+
+  /** How often requests are looked through for overdue ones after the module has failed. */
+  private static final long RESCUE_MILLIS = 10;
+
+  /** Something that has happened, to be told to the module. */
+  private interface Event {
+    void tell(double now);
+  }
+
+  private final Clock clock = new Clock();
+  private final EventLoop loop;
+  private final Timers timers;
+  private final Settings settings;
+  private final Log log;
+  private final Balancer balancer;
+  private final ServerPools pools;
+  private final DiscoveryClient discovery;
+  private final Map<String, OpenRequest> open = new HashMap<>();
+  private final ArrayDeque<Event> events = new ArrayDeque<>();
+  private final Set<String> refusedCalls = new HashSet<>();
+
+  /** Classes whose answers are streams to the module. */
+  private final Set<String> streamed = new HashSet<>();
+
+  private boolean telling;
+  private boolean rescuing;
+
+  Dispatcher(NodeConfig config, EventLoop loop, ServerPools pools, Log log) {
+    this.loop = loop;
+    this.settings = config.settings();
+    this.log = log;
+    this.pools = pools;
+    this.timers = new Timers(loop, log, tickNanos(settings));
+    this.balancer = new Balancer(settings, config.seed(), this);
+    for (Settings.ServiceClass service : settings.services()) {
+      if (service.streamed()) {
+        streamed.add(service.name());
+      }
+    }
+    this.discovery =
+        new DiscoveryClient(
+            loop, config.discovery(), settings.asksForList(), config.known().version(), this);
+  }
+
+  /** The simulator's tick where it is of use to a real clock. */
+  private static long tickNanos(Settings settings) {
+    return (long) (1e9 * Math.max(0.001, Math.min(0.01, settings.tick())));
+  }
+
+  /** Tells the module the list as it was last known, and begins to follow it. */
+  void start(MemberList known) {
+    pools.update(this, known, clock.now());
+    tell(now -> balancer.membership(now, update(MembershipUpdate.Kind.REMEMBERED, known)));
+    if (!settings.asksForList()) {
+      discovery.follow();
+    }
+  }
+
+  /**
+   * Tells the module of an event, and then of those that its own actions cause: the module is never
+   * called from within one of its calls.
+   */
+  private void tell(Event event) {
+    events.add(event);
+    if (telling) {
+      return;
+    }
+    telling = true;
+    try {
+      for (Event next = events.poll(); next != null; next = events.poll()) {
+        try {
+          next.tell(clock.now());
+        } catch (RuntimeException | StackOverflowError e) {
+          report("decision module", e);
+          rescue();
+        }
+      }
+    } finally {
+      telling = false;
+    }
+  }
+
+  /**
+   * Guards against an exception in the module that makes it forget a request: until all that was
+   * open then is over, what the module has not answered in time is answered here.
+   */
+  private void rescue() {
+    if (!rescuing) {
+      rescuing = true;
+      List<OpenRequest> doubtful = new ArrayList<>(open.values());
+      loop.schedule(() -> rescue(doubtful), RESCUE_MILLIS, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private void rescue(List<OpenRequest> doubtful) {
+    long now = System.nanoTime();
+    for (OpenRequest request : doubtful) {
+      if (!request.ended && !request.streaming && now - request.deadlineNanos > 0) {
+        end(request, "SERVER_ERROR failed");
+      }
+    }
+    doubtful.removeIf(request -> request.ended);
+    if (doubtful.isEmpty()) {
+      rescuing = false;
+    } else {
+      loop.schedule(() -> rescue(doubtful), RESCUE_MILLIS, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  void report(String where, Throwable cause) {
+    log.failure(where, cause);
+  }
+
+  // What clients do.
+
+  /** Takes a client's request; null if it was answered at once. */
+  OpenRequest request(MetaCommand command, ClientHandler.Slot slot) {
+    if (open.containsKey(command.request.id())) {
+      command.release();
+      slot.line("CLIENT_ERROR id in use");
+      return null;
+    }
+    OpenRequest request = new OpenRequest(command, slot, System.nanoTime());
+    open.put(request.id(), request);
+    tell(
+        now -> {
+          try {
+            balancer.request(now, command.request);
+          } catch (RuntimeException | StackOverflowError e) {
+            report("decision module", e);
+            end(request, "SERVER_ERROR failed");
+          }
+        });
+    return request;
+  }
+
+  /** The client has closed its connection. */
+  void clientGone(OpenRequest request) {
+    if (request.ended) {
+      return;
+    }
+    request.ended = true;
+    tell(
+        now -> {
+          balancer.clientGone(now, request.id());
+          settle(request);
+        });
+  }
+
+  // What cache servers do.
+
+  /** An attempt ended without an answer, or with one that serves nobody. */
+  void ended(Attempt attempt, Outcome.Result result) {
+    ended(attempt, result, Outcome.Note.NONE, null);
+  }
+
+  private void ended(Attempt attempt, Outcome.Result result, Outcome.Note note, LoadReport load) {
+    if (attempt.over) {
+      return;
+    }
+    attempt.over = true;
+    if (attempt.timeout != null) {
+      attempt.timeout.cancel();
+    }
+    OpenRequest request = attempt.request;
+    double elapsed = (System.nanoTime() - attempt.sentAt) / 1e9;
+    request.ended |= request.streaming;
+    tell(
+        now -> {
+          request.out--;
+          try {
+            balancer.outcome(
+                now,
+                new Outcome(
+                    request.id(),
+                    attempt.number,
+                    attempt.server,
+                    result,
+                    elapsed,
+                    request.ended,
+                    note,
+                    load));
+          } finally {
+            settle(request);
+          }
+        });
+  }
+
+  /**
+   * A reply has come, whole but for a long value's rest. Returns where that rest goes, null if
+   * nobody wants it.
+   */
+  ClientHandler.Slot replied(Attempt attempt, MetaReply reply, ServerConnection from) {
+    OpenRequest request = attempt.request;
+    ClientHandler.Slot rest = null;
+    if (reply.result() == Outcome.Result.OK && !request.ended && !request.streaming) {
+      if (reply.streamed()) {
+        rest = request.slot;
+        rest.begin(head(from.alloc(), reply, false), from);
+        if (streamed.contains(request.command.request.serviceClass())) {
+          request.streaming = true;
+          attempt.timeout.cancel();
+          tell(now -> balancer.streamStarted(now, request.id(), attempt.number));
+          return rest;
+        }
+        // Guards against taking a slow reader's time for the server's: the module is told of an
+        // answer when it has begun, which is when its time counts.
+        request.ended = true;
+      } else {
+        request.ended = true;
+        request.slot.whole(head(from.alloc(), reply, true));
+      }
+    }
+    ended(attempt, reply.result(), reply.note(), reply.load());
+    return rest;
+  }
+
+  /** A long value has come to its end. */
+  void streamed(Attempt attempt, MetaReply reply) {
+    ended(attempt, reply.result(), reply.note(), reply.load());
+  }
+
+  private static ByteBuf head(ByteBufAllocator allocator, MetaReply reply, boolean whole) {
+    int size = whole && reply.value() != null ? reply.value().readableBytes() : 0;
+    ByteBuf bytes = allocator.buffer(reply.id().length() + 48 + size);
+    if (reply.length() < 0) {
+      ByteBufUtil.writeAscii(bytes, "HD O");
+      ByteBufUtil.writeAscii(bytes, reply.id());
+      if (reply.receipt() != null) {
+        ByteBufUtil.writeAscii(bytes, " c");
+        ByteBufUtil.writeAscii(bytes, reply.receipt());
+      }
+    } else {
+      ByteBufUtil.writeAscii(bytes, "VA ");
+      ByteBufUtil.writeAscii(bytes, Integer.toString(reply.length()));
+      ByteBufUtil.writeAscii(bytes, " O");
+      ByteBufUtil.writeAscii(bytes, reply.id());
+    }
+    bytes.writeShort(0x0D0A);
+    return size > 0 ? bytes.writeBytes(reply.value(), reply.value().readerIndex(), size) : bytes;
+  }
+
+  // What discovery says.
+
+  void list(MemberList list) {
+    pools.update(this, list, clock.now());
+    MembershipUpdate.Kind kind =
+        list.full() ? MembershipUpdate.Kind.FULL : MembershipUpdate.Kind.CHANGES;
+    tell(now -> balancer.membership(now, update(kind, list)));
+  }
+
+  void listFailed(String why) {
+    log.line("discovery: " + why);
+    tell(
+        now ->
+            balancer.membership(
+                now, new MembershipUpdate(MembershipUpdate.Kind.FAILED, 0, List.of())));
+  }
+
+  private static MembershipUpdate update(MembershipUpdate.Kind kind, MemberList list) {
+    return new MembershipUpdate(
+        kind, list.version(), list.members().stream().map(MemberList.Member::entry).toList());
+  }
+
+  // What the module decides.
+
+  @Override
+  public void send(String requestId, long server, double timeout) {
+    OpenRequest request = open.get(requestId);
+    if (request == null) {
+      log.line("send for unknown request " + requestId);
+      return;
+    }
+    long now = System.nanoTime();
+    long latest = request.deadlineNanos - ANSWER_MARGIN_NANOS;
+    long deadline = timeout == 0 ? latest : Math.min(latest, now + (long) (timeout * 1e9));
+    Attempt attempt = new Attempt(request, request.attempts.size(), server, deadline);
+    request.attempts.add(attempt);
+    request.out++;
+    if (request.ended
+        || request.streaming
+        || attempt.number >= settings.limits().maxAttempts()
+        || latest - now <= 0) {
+      ended(attempt, Outcome.Result.MOOT);
+      return;
+    }
+    attempt.timeout = timers.by(deadline - now, () -> withdraw(attempt, Outcome.Result.TIMEOUT));
+    pools.send(attempt);
+  }
+
+  /** Stops waiting for an attempt. */
+  private void withdraw(Attempt attempt, Outcome.Result result) {
+    if (!attempt.over) {
+      // Its time ran out while it waited for a connection: that none came up proves it never ran.
+      boolean unsent = attempt.connection == null && result == Outcome.Result.TIMEOUT;
+      pools.withdraw(attempt, result == Outcome.Result.TIMEOUT);
+      ended(attempt, unsent ? Outcome.Result.CONNECT_FAILED : result);
+    }
+  }
+
+  @Override
+  public void cancel(String requestId, int number) {
+    OpenRequest request = open.get(requestId);
+    if (request != null && number < request.attempts.size() && !request.streaming) {
+      withdraw(request.attempts.get(number), Outcome.Result.CANCELLED);
+    }
+  }
+
+  @Override
+  public void refuse(String requestId, double retryAfter) {
+    long millis = Math.round(retryAfter * 1e3);
+    end(open.get(requestId), "SERVER_ERROR busy" + (millis > 0 ? " " + millis : ""));
+  }
+
+  @Override
+  public void fail(String requestId) {
+    end(open.get(requestId), "SERVER_ERROR failed");
+  }
+
+  private void end(OpenRequest request, String answer) {
+    if (request != null && !request.ended && !request.streaming) {
+      request.ended = true;
+      request.slot.line(answer);
+      settle(request);
+    }
+  }
+
+  /** Forgets what is over. */
+  private void settle(OpenRequest request) {
+    if (request.ended) {
+      request.command.release();
+      if (request.out == 0) {
+        open.remove(request.id(), request);
+      }
+    }
+  }
+
+  @Override
+  public void wake(long token, double delay) {
+    timers.after((long) (delay * 1e9), () -> tell(now -> balancer.timer(now, token)));
+  }
+
+  @Override
+  public void subscribe(boolean on) {
+    if (on) {
+      discovery.follow();
+    } else {
+      discovery.stop();
+    }
+  }
+
+  @Override
+  public void readList() {
+    discovery.readOnce();
+  }
+
+  @Override
+  public void closeIdle(long server) {
+    pools.closeIdle(server);
+  }
+
+  @Override
+  public void probe(long server) {
+    unsupported("probes");
+  }
+
+  @Override
+  public void tellPeer(int peer, String message) {
+    unsupported("messages to peers");
+  }
+
+  private void unsupported(String what) {
+    if (refusedCalls.add(what)) {
+      log.line("the decision module asked for " + what + ", which this node does not have");
+    }
+  }
+
+  @Override
+  public void log(String text) {
+    log.line(text);
+  }
+}
--- /dev/null
+++ b/src/main/java/beamspread/node/MemberList.java
@@ -0,0 +1,80 @@
+package beamspread.node;
+
+import beamspread.model.ServerEntry;
+import beamspread.sim.Message;
+import beamspread.sim.WireException;
+import io.netty.util.NetUtil;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
+import java.net.UnknownHostException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.UUID;
+
+/**
+ * The list of cache servers, or a change of it, in discovery's form.
+ *
+ * @param full whether it is the whole list
+ * @param version its version
+ * @param members its lines
+ */
+record MemberList(boolean full, long version, List<Member> members) {
+
+  /**
+   * One cache server.
+   *
+   * @param entry what the decision module is told of it
+   * @param address where this node reaches it; null for one that has left
+   */
+  record Member(ServerEntry entry, SocketAddress address) {}
+
+  static MemberList parse(Message list) throws WireException {
+    List<Member> members = new ArrayList<>();
+    for (Message line : list.objects("servers")) {
+      ServerEntry.State state =
+          switch (line.requiredText("state")) {
+            case "active" -> ServerEntry.State.READY;
+            case "left" -> ServerEntry.State.GONE;
+            default -> ServerEntry.State.DRAINING;
+          };
+      members.add(
+          new Member(
+              new ServerEntry(
+                  number(line.requiredText("id")),
+                  line.text("zone", ""),
+                  line.text("kind", ""),
+                  (int) line.number("cell", 0),
+                  state,
+                  line.number("weight", 1),
+                  line.number("started_ms", 0) / 1e3),
+              state == ServerEntry.State.GONE ? null : address(line.requiredText("addr"))));
+    }
+    return new MemberList(list.flag("full"), (long) list.requiredNumber("version"), members);
+  }
+
+  /**
+   * The number by which the module knows a server: made from the id alone, so that all nodes agree
+   * on a key's home, and wide enough that no two ids of a fleet meet.
+   */
+  static long number(String id) {
+    return UUID.nameUUIDFromBytes(id.getBytes(StandardCharsets.UTF_8)).getMostSignificantBits();
+  }
+
+  /** An address and port written in figures: there is no DNS. */
+  static InetSocketAddress address(String text) throws WireException {
+    int colon = text.lastIndexOf(':');
+    byte[] ip =
+        colon < 0 ? null : NetUtil.createByteArrayFromIpAddressString(text.substring(0, colon));
+    try {
+      int port = Integer.parseInt(text.substring(colon + 1));
+      if (ip != null && port >= 0 && port < 1 << 16) {
+        return new InetSocketAddress(InetAddress.getByAddress(ip), port);
+      }
+    } catch (NumberFormatException | UnknownHostException e) {
+      // Told below.
+    }
+    throw new WireException("'" + text + "' is not an IP address and port");
+  }
+}
--- /dev/null
+++ b/src/main/java/beamspread/node/MetaCommand.java
@@ -0,0 +1,266 @@
+package beamspread.node;
+
+import beamspread.model.Request;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.ByteToMessageDecoder;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+
+/**
+ * A command as a client sent it. A write keeps its value until the request has ended, for a second
+ * attempt; the budget bounds what all of them keep.
+ */
+final class MetaCommand {
+  /** Longest key, as in memcached. */
+  private static final int MAX_KEY = 250;
+
+  private static final int MAX_ID = 64;
+
+  /** Longest deadline in milliseconds that is believed: an hour. */
+  private static final int MAX_DEADLINE = 3_600_000;
+
+  /** What to answer at once, null for a request that goes to a cache server. */
+  final String reply;
+
+  /** Whether the client's bytes can no longer be told apart, so that its connection must close. */
+  final boolean lost;
+
+  final Request request;
+  private final byte[] line;
+  private final int deadlineStart;
+  private final int deadlineEnd;
+  private final MemoryBudget budget;
+  private ByteBuf value;
+
+  private MetaCommand(String reply, boolean lost) {
+    this(reply, lost, null, null, 0, 0, null);
+  }
+
+  private MetaCommand(
+      String reply,
+      boolean lost,
+      Request request,
+      byte[] line,
+      int deadlineStart,
+      int deadlineEnd,
+      MemoryBudget budget) {
+    this.reply = reply;
+    this.lost = lost;
+    this.request = request;
+    this.line = line;
+    this.deadlineStart = deadlineStart;
+    this.deadlineEnd = deadlineEnd;
+    this.budget = budget;
+  }
+
+  /**
+   * The bytes for a cache server: the client's own, but for the deadline, which tells how long this
+   * node will wait.
+   */
+  ByteBuf encode(ByteBufAllocator allocator, long millis) {
+    byte[] deadline = Long.toString(Math.max(1, millis)).getBytes(StandardCharsets.US_ASCII);
+    ByteBuf head = allocator.buffer(line.length + deadline.length + 2);
+    head.writeBytes(line, 0, deadlineStart).writeBytes(deadline);
+    head.writeBytes(line, deadlineEnd, line.length - deadlineEnd).writeShort(0x0D0A);
+    return value == null
+        ? head
+        : allocator.compositeBuffer(2).addComponents(true, head, value.retainedDuplicate());
+  }
+
+  /** Lets the value go: no further attempt can follow. Those being written keep their own hold. */
+  void release() {
+    if (value != null) {
+      budget.release(value.capacity());
+      value.release();
+      value = null;
+    }
+  }
+
+  /** Reads commands off a client's connection, however its bytes are cut. */
+  static final class Decoder extends ByteToMessageDecoder {
+    private static final MetaCommand HELLO = new MetaCommand("MN", false);
+    private static final MetaCommand UNKNOWN = new MetaCommand("ERROR", false);
+
+    private final MemoryBudget budget;
+
+    /** The write whose value is being read, and how many bytes with its CRLF are still to come. */
+    private MetaCommand write;
+
+    private int missing;
+    private boolean lost;
+
+    Decoder(MemoryBudget budget) {
+      this.budget = budget;
+    }
+
+    /** Whether a command has begun and not ended. */
+    boolean midway() {
+      return write != null || actualReadableBytes() > 0;
+    }
+
+    @Override
+    protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) {
+      if (lost) {
+        in.skipBytes(in.readableBytes());
+        return;
+      }
+      try {
+        if (write != null) {
+          readValue(in, out);
+          return;
+        }
+        MetaLine line = MetaLine.read(in);
+        if (line != null) {
+          MetaCommand command = parse(ctx.alloc(), line);
+          if (write == null) {
+            out.add(command);
+          }
+        }
+      } catch (MetaLine.MalformedException e) {
+        dropWrite();
+        lost = true;
+        out.add(new MetaCommand("CLIENT_ERROR " + e.getMessage(), true));
+      }
+    }
+
+    private void readValue(ByteBuf in, List<Object> out) throws MetaLine.MalformedException {
+      int bytes = Math.min(in.readableBytes(), missing - 2);
+      if (bytes > 0) {
+        if (write.value != null) {
+          write.value.writeBytes(in, bytes);
+        } else {
+          in.skipBytes(bytes);
+        }
+        missing -= bytes;
+      }
+      if (missing == 2 && in.readableBytes() >= 2) {
+        MetaLine.readEnd(in);
+        MetaCommand whole = write;
+        write = null;
+        if (whole.value != null) {
+          whole.value.writeShort(0x0D0A);
+        }
+        out.add(whole);
+      }
+    }
+
+    private MetaCommand parse(ByteBufAllocator allocator, MetaLine line)
+        throws MetaLine.MalformedException {
+      line.next();
+      if (line.is("mn")) {
+        return HELLO;
+      }
+      boolean sets = line.is("ms");
+      if (!sets && !line.is("mg")) {
+        return UNKNOWN;
+      }
+      String wrong = null;
+      String key = null;
+      if (line.next() && line.end() - line.start() <= MAX_KEY && visible(line)) {
+        key = line.word(0);
+      } else {
+        wrong = "bad key";
+      }
+      int length = 0;
+      if (sets) {
+        // The length is needed even where all else is wrong: it tells where the next command is.
+        length = line.next() ? line.number(line.start(), line.end()) : -1;
+        if (length < 0 || length > MetaLine.MAX_VALUE) {
+          throw new MetaLine.MalformedException("bad data length");
+        }
+      }
+      MetaCommand command = flags(line, key, sets, wrong);
+      if (sets) {
+        if (command.request != null && !budget.reserve(length + 2)) {
+          // Guards against more writes at once than there is memory for: this one is read and
+          // dropped, and refused, which is true since it has never gone out.
+          command = new MetaCommand("SERVER_ERROR busy", false);
+        } else if (command.request != null) {
+          command.value = allocator.buffer(length + 2, length + 2);
+        }
+        write = command;
+        missing = length + 2;
+      }
+      return command;
+    }
+
+    private static boolean visible(MetaLine line) {
+      return line.visible(line.start(), line.end());
+    }
+
+    private MetaCommand flags(MetaLine line, String key, boolean sets, String wrong) {
+      String id = null;
+      int deadlineStart = 0;
+      int deadlineEnd = 0;
+      int deadline = -1;
+      String serviceClass = null;
+      String tenant = null;
+      boolean repeat = false;
+      double work = 0;
+      double size = 0;
+      while (line.next()) {
+        if (!visible(line)) {
+          wrong = "bad flag";
+        } else if (line.flag() == 'O') {
+          id = line.end() - line.start() - 1 <= MAX_ID ? line.word(1) : null;
+        } else if (line.flag() == 'P') {
+          int from = line.start() + 1;
+          while (from < line.end()) {
+            int to = from;
+            while (to < line.end() && line.bytes[to] != ',') {
+              to++;
+            }
+            int equals = from;
+            while (equals < to && line.bytes[equals] != '=') {
+              equals++;
+            }
+            int value = Math.min(equals + 1, to);
+            switch (line.text(from, equals)) {
+              case "c" -> serviceClass = line.text(value, to);
+              case "t" -> tenant = line.text(value, to);
+              case "d" -> {
+                deadlineStart = value;
+                deadlineEnd = to;
+                deadline = line.number(value, to);
+              }
+              case "r" -> repeat = line.number(value, to) == 1;
+              case "h" -> work = Math.max(0, line.number(value, to)) / 1e6;
+              case "size" -> size = Math.max(0, line.number(value, to));
+              default -> {
+                // Meant for the cache server, which gets all of them as they are.
+              }
+            }
+            from = to + 1;
+          }
+        }
+      }
+      if (wrong == null && (id == null || id.isEmpty())) {
+        wrong = "bad or missing id";
+      } else if (wrong == null && (serviceClass == null || serviceClass.isEmpty())) {
+        wrong = "bad or missing class";
+      } else if (wrong == null && (deadline <= 0 || deadline > MAX_DEADLINE)) {
+        wrong = "bad or missing deadline";
+      }
+      if (wrong != null) {
+        return new MetaCommand("CLIENT_ERROR " + wrong, false);
+      }
+      Request request =
+          new Request(id, key, serviceClass, tenant, deadline / 1e3, work, size, repeat, sets);
+      return new MetaCommand(null, false, request, line.bytes, deadlineStart, deadlineEnd, budget);
+    }
+
+    private void dropWrite() {
+      if (write != null) {
+        write.release();
+        write = null;
+      }
+    }
+
+    @Override
+    protected void handlerRemoved0(ChannelHandlerContext ctx) {
+      dropWrite();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/beamspread/node/MetaReply.java
@@ -0,0 +1,167 @@
+package beamspread.node;
+
+import beamspread.model.LoadReport;
+import beamspread.model.Outcome;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.ByteToMessageDecoder;
+import io.netty.handler.codec.DecoderException;
+import java.util.Arrays;
+import java.util.List;
+
+/**
+ * A cache server's reply.
+ *
+ * @param result the outcome that it stands for
+ * @param id the request's id as the server repeats it, null where an error line has none
+ * @param receipt a write's receipt, null for another reply
+ * @param length the value's length, -1 where the reply has no value
+ * @param value the value with its CRLF; null where there is none, or where it follows in pieces
+ * @param note what it says of the server's cache
+ * @param load the server's load report, null if none came along
+ */
+record MetaReply(
+    Outcome.Result result,
+    String id,
+    String receipt,
+    int length,
+    ByteBuf value,
+    Outcome.Note note,
+    LoadReport load) {
+
+  /** Longest value that is gathered whole; a longer one is passed on as it comes. */
+  static final int MAX_GATHERED = 1 << 16;
+
+  /** Whether the value follows in pieces. */
+  boolean streamed() {
+    return length > MAX_GATHERED;
+  }
+
+  /** Reads replies off a cache server's connection; a long value follows its reply in pieces. */
+  static final class Decoder extends ByteToMessageDecoder {
+    private MetaReply head;
+
+    /** Bytes of a long value and its CRLF that are still to come. */
+    private int missing;
+
+    @Override
+    protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) {
+      try {
+        if (missing > 0) {
+          readPiece(in, out);
+          return;
+        }
+        if (head == null) {
+          MetaLine line = MetaLine.read(in);
+          if (line == null) {
+            return;
+          }
+          head = parse(line);
+          if (head.streamed()) {
+            missing = head.length + 2;
+          }
+        }
+        if (head.length < 0 || head.streamed()) {
+          out.add(head);
+          head = null;
+        } else if (in.readableBytes() >= head.length + 2) {
+          int end = in.readerIndex() + head.length;
+          if (in.getByte(end) != '\r' || in.getByte(end + 1) != '\n') {
+            throw new MetaLine.MalformedException("bad data chunk");
+          }
+          out.add(
+              new MetaReply(
+                  head.result,
+                  head.id,
+                  null,
+                  head.length,
+                  in.readRetainedSlice(head.length + 2),
+                  head.note,
+                  head.load));
+          head = null;
+        }
+      } catch (MetaLine.MalformedException e) {
+        throw new DecoderException(e);
+      }
+    }
+
+    private void readPiece(ByteBuf in, List<Object> out) throws MetaLine.MalformedException {
+      // The CRLF is read as a whole, lest a value be called whole before its end was checked.
+      if (missing > 2) {
+        int bytes = Math.min(in.readableBytes(), missing - 2);
+        missing -= bytes;
+        out.add(in.readRetainedSlice(bytes));
+      } else if (in.readableBytes() >= 2) {
+        int start = in.readerIndex();
+        MetaLine.readEnd(in);
+        missing = 0;
+        out.add(in.retainedSlice(start, 2));
+      }
+    }
+
+    private static MetaReply parse(MetaLine line) throws MetaLine.MalformedException {
+      line.next();
+      Outcome.Result result = Outcome.Result.OK;
+      int length = -1;
+      if (line.is("VA")) {
+        length = line.next() ? line.number(line.start(), line.end()) : -1;
+        if (length < 0 || length > MetaLine.MAX_VALUE) {
+          throw new MetaLine.MalformedException("bad data length");
+        }
+      } else if (line.is("SERVER_ERROR")) {
+        result = line.next() && line.is("busy") ? Outcome.Result.FULL : Outcome.Result.ERROR;
+      } else if (!line.is("HD")) {
+        throw new MetaLine.MalformedException("unknown reply");
+      }
+      String id = null;
+      String receipt = null;
+      Outcome.Note note = Outcome.Note.NONE;
+      LoadReport load = null;
+      while (line.next()) {
+        switch (line.flag()) {
+          case 'O' -> id = line.word(1);
+          case 'c' -> receipt = line.word(1);
+          case 'h' -> note = line.is("h1") ? Outcome.Note.HIT : Outcome.Note.MISS;
+          case 'Z' -> note = Outcome.Note.MISS_PENDING;
+          case 'L' -> load = load(line.word(1));
+          default -> {
+            // Nothing that this node knows the use of.
+          }
+        }
+      }
+      if (result == Outcome.Result.OK && id == null) {
+        throw new MetaLine.MalformedException("reply without an id");
+      }
+      return new MetaReply(result, id, receipt, length, null, note, load);
+    }
+
+    private static LoadReport load(String text) {
+      double[] values = new double[8];
+      Arrays.fill(values, Double.NaN);
+      for (String pair : text.split(",")) {
+        int equals = pair.indexOf('=');
+        int place =
+            switch (pair.substring(0, Math.max(0, equals))) {
+              case "inflight", "active" -> 0;
+              case "queue", "waiting" -> 1;
+              case "util", "cpu" -> 2;
+              case "latency_ms", "avg_ms" -> 3;
+              case "qps", "rps" -> 4;
+              case "eps", "err_rps" -> 5;
+              case "x0" -> 6;
+              case "x1" -> 7;
+              default -> -1;
+            };
+        if (place >= 0) {
+          try {
+            values[place] = Double.parseDouble(pair.substring(equals + 1));
+          } catch (NumberFormatException e) {
+            // A figure that cannot be read is one that was not reported.
+          }
+        }
+      }
+      return new LoadReport(
+          values[0], values[1], values[2], values[3], values[4], values[5], values[6], values[7]);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/beamspread/node/Node.java
@@ -0,0 +1,175 @@
+package beamspread.node;
+
+import beamspread.sim.WireException;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.PooledByteBufAllocator;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+/** One load balancer node: assembles its parts around one event loop, and ends them in order. */
+public final class Node implements AutoCloseable {
+  /** New connections go on coming for so long after a planned restart has begun. */
+  private static final long ACCEPT_MILLIS = 500;
+
+  /** Descriptors kept for files and pipes of the virtual machine, the selector and discovery. */
+  private static final int OWN_DESCRIPTORS = 48;
+
+  /** Connections to one server, over all nodes together, that this tier opens of itself. */
+  private static final int TIER_CONNECTIONS = 28;
+
+  private final NodeConfig config;
+  private final Log log = new Log();
+  private final MultiThreadIoEventLoopGroup group;
+  private final EventLoop loop;
+  private final ClientConnections clients = new ClientConnections();
+  private final ServerPools pools;
+  private final Dispatcher dispatcher;
+  private final MemoryBudget values;
+  private final CountDownLatch drained = new CountDownLatch(1);
+  private Channel listener;
+
+  /** A node that is not listening yet. */
+  Node(NodeConfig config) {
+    this(config, Math.max(1, TIER_CONNECTIONS / config.settings().instances()));
+  }
+
+  /** A node that opens so many connections to each server. */
+  Node(NodeConfig config, int connections) {
+    this.config = config;
+    group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    loop = group.next();
+    values = new MemoryBudget((long) config.memoryMb() << 18);
+    PooledByteBufAllocator allocator =
+        new PooledByteBufAllocator(true, 0, 1, 8192, 6, 64, 16, true);
+    Bootstrap bootstrap =
+        new Bootstrap()
+            .group(loop)
+            .channel(NioSocketChannel.class)
+            .option(ChannelOption.ALLOCATOR, allocator)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(
+                ChannelOption.CONNECT_TIMEOUT_MILLIS,
+                (int) Math.max(1, config.settings().limits().connectTimeout() * 1e3));
+    pools = new ServerPools(bootstrap, serverLimits(connections));
+    dispatcher = new Dispatcher(config, loop, pools, log);
+    this.allocator = allocator;
+  }
+
+  private final PooledByteBufAllocator allocator;
+
+  private ServerPool.Limits serverLimits(int connections) {
+    var limits = config.settings().limits();
+    return new ServerPool.Limits(
+        connections,
+        // Where a request may not have two attempts out, one that is given up must be off its
+        // connection before the next goes out: nothing may share it.
+        limits.parallelAttempts() ? Math.max(1, limits.perConnection()) : 1,
+        (long) (Math.max(1, limits.idleTimeout() / 2) * 1e9));
+  }
+
+  /** Runs a node until it is told to end; returns the exit code. */
+  public static int serve(String configFile) throws InterruptedException {
+    NodeConfig config;
+    try {
+      config = NodeConfig.load(configFile);
+    } catch (WireException e) {
+      System.err.println("serve: " + e.getMessage());
+      return 2;
+    }
+    Node node = new Node(config);
+    try {
+      node.start();
+    } catch (IOException e) {
+      System.err.println("serve: cannot listen on " + config.listen() + ": " + e.getMessage());
+      node.close();
+      return 1;
+    }
+    Runtime.getRuntime().addShutdownHook(new Thread(node::drain, "drain"));
+    node.drained.await();
+    return 0;
+  }
+
+  /** Listens; returns the address. */
+  InetSocketAddress start() throws IOException, InterruptedException {
+    Warmup.run(config, loop, allocator, log);
+    loop.submit(() -> dispatcher.start(config.known())).await();
+    var bound =
+        new ServerBootstrap()
+            .group(loop)
+            .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_BACKLOG, 1024)
+            .childOption(ChannelOption.ALLOCATOR, allocator)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(
+                ChannelOption.RECVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator(512, 2048, 16384))
+            .childHandler(
+                new ChannelInitializer<>() {
+                  @Override
+                  protected void initChannel(Channel channel) {
+                    accept(channel);
+                  }
+                })
+            .bind(config.listen())
+            .await();
+    if (!bound.isSuccess()) {
+      throw new IOException(bound.cause().getMessage());
+    }
+    listener = bound.channel();
+    loop.scheduleAtFixedRate(this::sweep, 1, 1, TimeUnit.SECONDS);
+    return (InetSocketAddress) listener.localAddress();
+  }
+
+  private void accept(Channel channel) {
+    if (clients.size() + OWN_DESCRIPTORS >= config.sockets()) {
+      clients.closeIdlest();
+    }
+    MetaCommand.Decoder decoder = new MetaCommand.Decoder(values);
+    channel.pipeline().addLast(decoder, new ClientHandler(dispatcher, clients, decoder));
+  }
+
+  private void sweep() {
+    long now = System.nanoTime();
+    clients.closeStuck(now);
+    pools.closeStale(now);
+  }
+
+  /**
+   * A planned restart: goes on accepting for as long as connections may come, then ends each one as
+   * it falls idle; returns when all is answered, or when the longest deadline has passed.
+   */
+  void drain() {
+    loop.schedule(
+        () -> {
+          listener.close();
+          log.line("draining " + clients.size() + " client connections");
+          clients.drain(loop, drained::countDown);
+        },
+        ACCEPT_MILLIS,
+        TimeUnit.MILLISECONDS);
+    try {
+      long millis = (long) (config.longestDeadline() * 1e3) + ACCEPT_MILLIS + 100;
+      boolean whole = drained.await(millis, TimeUnit.MILLISECONDS);
+      log.line(whole ? "drained" : "not drained in time, " + clients.size() + " left");
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /** Ends at once. */
+  @Override
+  public void close() {
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+  }
+}
--- /dev/null
+++ b/src/main/java/beamspread/node/NodeConfig.java
@@ -0,0 +1,78 @@
+package beamspread.node;
+
+import beamspread.model.Settings;
+import beamspread.sim.Dialect;
+import beamspread.sim.Message;
+import beamspread.sim.WireException;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.InvalidPathException;
+import java.nio.file.Path;
+
+/**
+ * What the platform tells a node.
+ *
+ * @param listen where clients connect
+ * @param discovery where the list of servers is
+ * @param seed for random numbers
+ * @param sockets file descriptors that the process may hold
+ * @param memoryMb memory that the process may hold
+ * @param known the list of servers as this node last had it
+ * @param settings the object that an instance in the simulator is told
+ */
+record NodeConfig(
+    InetSocketAddress listen,
+    InetSocketAddress discovery,
+    long seed,
+    int sockets,
+    int memoryMb,
+    MemberList known,
+    Settings settings) {
+
+  /** Reads the file of this name, usually from {@code ROUTER_CONFIG}. */
+  static NodeConfig load(String file) throws WireException {
+    if (file == null || file.isEmpty()) {
+      throw new WireException("ROUTER_CONFIG does not name a file");
+    }
+    try {
+      return parse(Message.parse(Files.readString(Path.of(file))));
+    } catch (IOException | InvalidPathException e) {
+      throw new WireException("cannot read " + file);
+    } catch (WireException e) {
+      throw new WireException(file + ": " + e.getMessage());
+    }
+  }
+
+  private static NodeConfig parse(Message config) throws WireException {
+    Message limits = config.requiredNested("limits");
+    Settings settings = Dialect.settings(config.requiredNested("settings"));
+    if (settings.services().isEmpty()) {
+      throw new WireException("settings without services");
+    }
+    return new NodeConfig(
+        MemberList.address(config.requiredText("listen")),
+        MemberList.address(config.requiredText("discovery")),
+        seed(config.requiredText("seed")),
+        (int) limits.requiredNumber("sockets"),
+        (int) limits.requiredNumber("memory_mb"),
+        MemberList.parse(config.requiredNested("known")),
+        settings);
+  }
+
+  private static long seed(String text) throws WireException {
+    try {
+      return Long.parseUnsignedLong(text, 16);
+    } catch (NumberFormatException e) {
+      throw new WireException("seed '" + text + "' is not hexadecimal");
+    }
+  }
+
+  /** The longest time that a client may wait, in seconds. */
+  double longestDeadline() {
+    return settings.services().stream()
+        .mapToDouble(Settings.ServiceClass::deadline)
+        .max()
+        .orElseThrow();
+  }
+}
--- /dev/null
+++ b/src/main/java/beamspread/node/ServerPool.java
@@ -0,0 +1,204 @@
+package beamspread.node;
+
+import beamspread.model.Outcome;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ConnectTimeoutException;
+import java.net.SocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+
+/** This node's connections to one cache server. */
+final class ServerPool {
+  /** How long a number of connections that a server turned down is kept to. */
+  private static final long CAPPED_NANOS = 30_000_000_000L;
+
+  /**
+   * What bounds the connections to each server.
+   *
+   * @param connections how many this node opens at most
+   * @param depth how many attempts may be under way on one
+   * @param idleNanos how long one is kept that is not in use
+   */
+  record Limits(int connections, int depth, long idleNanos) {}
+
+  private final Bootstrap bootstrap;
+  private final Limits limits;
+  private final Dispatcher dispatcher;
+  private final List<ServerConnection> connections = new ArrayList<>();
+  private final ArrayDeque<Attempt> waiting = new ArrayDeque<>();
+  private SocketAddress address;
+  private int connecting;
+  private int cap;
+  private long cappedAt;
+
+  ServerPool(Bootstrap bootstrap, Limits limits, Dispatcher dispatcher, SocketAddress address) {
+    this.bootstrap = bootstrap;
+    this.limits = limits;
+    this.dispatcher = dispatcher;
+    this.address = address;
+    this.cap = limits.connections();
+  }
+
+  /**
+   * The list has the server here, started at this time. Connections to another address, or older
+   * than the process, lead nowhere: they are not used again.
+   */
+  void listed(SocketAddress at, double startedAt, double now) {
+    boolean moved = !at.equals(address);
+    address = at;
+    long started = System.nanoTime() - (long) (Math.max(0, now - startedAt) * 1e9);
+    for (ServerConnection connection : List.copyOf(connections)) {
+      if (moved || (startedAt > 0 && connection.openedAt() - started < 0)) {
+        connection.retire();
+      }
+    }
+  }
+
+  /** The server has left: what is under way may end, and nothing new begins. */
+  void retire() {
+    for (Attempt attempt = waiting.poll(); attempt != null; attempt = waiting.poll()) {
+      dispatcher.ended(attempt, Outcome.Result.CONNECT_FAILED);
+    }
+    for (ServerConnection connection : List.copyOf(connections)) {
+      connection.retire();
+    }
+  }
+
+  /**
+   * Writes an attempt to a free connection, the one used last so that others fall idle; where there
+   * is none, opens one more; at the limit, writes it behind the fewest others.
+   */
+  void send(Attempt attempt) {
+    ServerConnection best = null;
+    for (ServerConnection connection : connections) {
+      if (connection.load() < limits.depth() && connection.preferredTo(best)) {
+        best = connection;
+      }
+    }
+    if (best != null && best.load() == 0) {
+      best.write(attempt);
+      return;
+    }
+    if (live() + connecting < cap()) {
+      waiting.add(attempt);
+      if (connecting < waiting.size()) {
+        connect();
+      }
+    } else if (best != null) {
+      best.write(attempt);
+    } else {
+      waiting.add(attempt);
+      if (live() == 0 && connecting == 0) {
+        connect();
+      }
+    }
+  }
+
+  private int cap() {
+    if (cap < limits.connections() && System.nanoTime() - cappedAt > CAPPED_NANOS) {
+      cap = limits.connections();
+    }
+    return cap;
+  }
+
+  void forget(Attempt attempt) {
+    waiting.remove(attempt);
+  }
+
+  private void connect() {
+    connecting++;
+    long began = System.nanoTime();
+    ServerConnection connection = new ServerConnection(this, dispatcher);
+    ChannelFuture future = connection.open(bootstrap, address);
+    future.addListener(
+        done -> {
+          connecting--;
+          if (done.isSuccess()) {
+            connections.add(connection);
+            free(connection);
+          } else {
+            connectFailed(began, done.cause() instanceof ConnectTimeoutException);
+          }
+        });
+  }
+
+  /**
+   * No connection came up. One that was turned down while others work shows the server's limit:
+   * what waited goes on those, since a failure would tell the module that the server is down. But a
+   * connection that times out beside silent ones shows a machine that has vanished.
+   */
+  private void connectFailed(long began, boolean silent) {
+    if (silent) {
+      suspectSilence(began);
+    }
+    boolean usable = connections.stream().anyMatch(c -> c.load() < limits.depth());
+    if (usable) {
+      cap = Math.max(1, live());
+      cappedAt = System.nanoTime();
+    } else if (connecting > 0) {
+      return;
+    }
+    // Guards against an endless loop: what is sent may come to wait again.
+    List<Attempt> stranded = new ArrayList<>(waiting);
+    waiting.clear();
+    for (Attempt attempt : stranded) {
+      if (usable) {
+        send(attempt);
+      } else {
+        dispatcher.ended(attempt, Outcome.Result.CONNECT_FAILED);
+      }
+    }
+  }
+
+  /** Connections that may be used again; the others only see out what is under way on them. */
+  private int live() {
+    int live = 0;
+    for (ServerConnection connection : connections) {
+      live += connection.retiring() ? 0 : 1;
+    }
+    return live;
+  }
+
+  /** A connection has nothing under way: the attempt that waits longest may have it. */
+  void free(ServerConnection connection) {
+    Attempt next = waiting.poll();
+    if (next != null) {
+      connection.write(next);
+    }
+  }
+
+  /** A connection is closed. */
+  void closed(ServerConnection connection) {
+    connections.remove(connection);
+    if (live() == 0 && connecting == 0 && !waiting.isEmpty()) {
+      connect();
+    }
+  }
+
+  /**
+   * Nothing has come from this server since the given time, though an answer was due. Guards
+   * against a machine that vanished, whose connections stay open and silent: none of those is used
+   * again, so that the next attempt opens one and learns the truth within the connect time-out.
+   */
+  void suspectSilence(long since) {
+    for (ServerConnection connection : connections) {
+      if (connection.heardAt() - since > 0) {
+        return;
+      }
+    }
+    for (ServerConnection connection : List.copyOf(connections)) {
+      connection.retire();
+    }
+  }
+
+  /** Closes connections not used since the given time, all idle ones for 0. */
+  void closeIdle(long before) {
+    for (ServerConnection connection : List.copyOf(connections)) {
+      if (connection.load() == 0 && (before == 0 || connection.usedAt() - before < 0)) {
+        connection.retire();
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/beamspread/node/ServerPools.java
@@ -0,0 +1,81 @@
+package beamspread.node;
+
+import beamspread.model.Outcome;
+import beamspread.model.ServerEntry;
+import io.netty.bootstrap.Bootstrap;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+
+/** The connections to all cache servers, each known by the number that the module uses. */
+final class ServerPools {
+  private final Map<Long, ServerPool> pools = new HashMap<>();
+  private final Bootstrap bootstrap;
+  private final ServerPool.Limits limits;
+  private Dispatcher dispatcher;
+
+  ServerPools(Bootstrap bootstrap, ServerPool.Limits limits) {
+    this.bootstrap = bootstrap;
+    this.limits = limits;
+  }
+
+  /** Takes in where the servers are now. */
+  void update(Dispatcher owner, MemberList list, double now) {
+    dispatcher = owner;
+    Set<Long> gone = list.full() ? new HashSet<>(pools.keySet()) : new HashSet<>();
+    for (MemberList.Member member : list.members()) {
+      ServerEntry entry = member.entry();
+      if (entry.state() == ServerEntry.State.GONE) {
+        gone.add(entry.id());
+        continue;
+      }
+      gone.remove(entry.id());
+      ServerPool pool =
+          pools.computeIfAbsent(
+              entry.id(), id -> new ServerPool(bootstrap, limits, owner, member.address()));
+      pool.listed(member.address(), entry.startedAt(), now);
+    }
+    for (long id : gone) {
+      ServerPool pool = pools.remove(id);
+      if (pool != null) {
+        pool.retire();
+      }
+    }
+  }
+
+  void send(Attempt attempt) {
+    ServerPool pool = pools.get(attempt.server);
+    if (pool == null) {
+      dispatcher.ended(attempt, Outcome.Result.CONNECT_FAILED);
+    } else {
+      pool.send(attempt);
+    }
+  }
+
+  /** Stops waiting for an attempt; {@code overdue} if the server has not answered it in time. */
+  void withdraw(Attempt attempt, boolean overdue) {
+    if (attempt.connection != null) {
+      attempt.connection.abandon(attempt, overdue);
+    } else {
+      ServerPool pool = pools.get(attempt.server);
+      if (pool != null) {
+        pool.forget(attempt);
+      }
+    }
+  }
+
+  void closeIdle(long server) {
+    ServerPool pool = pools.get(server);
+    if (pool != null) {
+      pool.closeIdle(0);
+    }
+  }
+
+  /** Closes connections that have been idle for so long that the server might. */
+  void closeStale(long now) {
+    for (ServerPool pool : pools.values()) {
+      pool.closeIdle(now - limits.idleNanos());
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/beamspread/node/Timers.java
@@ -0,0 +1,84 @@
+package beamspread.node;
+
+import io.netty.channel.EventLoop;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Timers that come due in ticks, the grain in which the module takes events. Guards against an
+ * event loop that never sleeps: with some timers for each request one is always about to come due,
+ * and the loop would poll its sockets over and over until it does.
+ */
+final class Timers {
+  private final EventLoop loop;
+  private final Log log;
+  private final long tickNanos;
+  private final long start = System.nanoTime();
+  private final TreeMap<Long, List<Timer>> due = new TreeMap<>();
+  private long armedFor = Long.MAX_VALUE;
+
+  Timers(EventLoop loop, Log log, long tickNanos) {
+    this.loop = loop;
+    this.log = log;
+    this.tickNanos = tickNanos;
+  }
+
+  /** Something to be done at a time, unless it is called off before. */
+  static final class Timer {
+    private Runnable task;
+
+    private Timer(Runnable task) {
+      this.task = task;
+    }
+
+    void cancel() {
+      task = null;
+    }
+  }
+
+  /** Runs the task in the last tick that is not after the delay; at once if that has passed. */
+  Timer by(long delayNanos, Runnable task) {
+    return at(Math.floorDiv(System.nanoTime() - start + delayNanos, tickNanos), task);
+  }
+
+  /** Runs the task in the first tick that is not before the delay. */
+  Timer after(long delayNanos, Runnable task) {
+    return at(-Math.floorDiv(-(System.nanoTime() - start + delayNanos), tickNanos), task);
+  }
+
+  private Timer at(long tick, Runnable task) {
+    Timer timer = new Timer(task);
+    due.computeIfAbsent(tick, t -> new ArrayList<>()).add(timer);
+    arm(tick);
+    return timer;
+  }
+
+  private void arm(long tick) {
+    if (tick < armedFor) {
+      armedFor = tick;
+      long delay = start + tick * tickNanos - System.nanoTime();
+      loop.schedule(this::run, Math.max(0, delay), TimeUnit.NANOSECONDS);
+    }
+  }
+
+  private void run() {
+    long now = (System.nanoTime() - start) / tickNanos;
+    armedFor = Long.MAX_VALUE;
+    while (!due.isEmpty() && due.firstKey() <= now) {
+      for (Timer timer : due.pollFirstEntry().getValue()) {
+        if (timer.task != null) {
+          try {
+            timer.task.run();
+          } catch (RuntimeException e) {
+            log.failure("timer", e);
+          }
+        }
+      }
+    }
+    if (!due.isEmpty()) {
+      arm(due.firstKey());
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/beamspread/policy/Actions.java
@@ -0,0 +1,37 @@
+package beamspread.policy;
+
+/** What a {@link Balancer} can do; the shell around it carries these out, in order. */
+public interface Actions {
+  /** Sends the request's next attempt to a server; a timeout of 0 waits as long as the client. */
+  void send(String requestId, long server, double timeout);
+
+  /** Stops waiting for one attempt. */
+  void cancel(String requestId, int attempt);
+
+  /** Final answer: not done, trying again does no harm; {@code retryAfter} of 0 is no advice. */
+  void refuse(String requestId, double retryAfter);
+
+  /** Final answer: failed, perhaps with effect. */
+  void fail(String requestId);
+
+  /** Asks for a timer event with this token. */
+  void wake(long token, double delay);
+
+  /** Subscribes to changes of the server list, or stops. */
+  void subscribe(boolean on);
+
+  /** Asks once for the whole server list. */
+  void readList();
+
+  /** Probes a server. */
+  void probe(long server);
+
+  /** Closes the idle connections to a server. */
+  void closeIdle(long server);
+
+  /** Sends a message to one peer, or to all of them if {@code peer} is negative. */
+  void tellPeer(int peer, String message);
+
+  /** Writes a line to the log. */
+  void log(String text);
+}
--- /dev/null
+++ b/src/main/java/beamspread/policy/Balancer.java
@@ -0,0 +1,531 @@
+package beamspread.policy;
+
+import beamspread.model.LoadReport;
+import beamspread.model.MembershipUpdate;
+import beamspread.model.Outcome;
+import beamspread.model.Request;
+import beamspread.model.Settings;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+
+/**
+ * Decides where requests go: Random Jump Consistent Hashing over the servers of the list, with a
+ * cap on the requests that this balancer has in flight at each. One object per instance; each
+ * method takes the time, in seconds, at which its event happened.
+ */
+public final class Balancer {
+  static final long FEED_TOKEN = 0;
+  private static final long HOLD = 1;
+
+  /** Jumps tried before giving the ordinary path up: each finds one of many servers. */
+  private static final int MAX_JUMPS = 64;
+
+  /**
+   * Further attempts earned by each answer, and how many may be saved up. Where everything fails,
+   * retries would multiply the load that makes it fail; a tenth lets single failures be mended.
+   */
+  private static final double RETRY_SHARE = 0.1;
+
+  private static final double RETRY_BURST = 10;
+
+  /** The part of a class's aim that an answer from the cache may take before it is a strain. */
+  private static final double FAIR_PART_OF_AIM = 0.4;
+
+  /**
+   * What a zone's own copy of a key must save to be worth its misses: sightings there, in the
+   * heat's window, times the price of crossing; and jumps for each zone and home to look for a
+   * server.
+   */
+  private static final double LOCAL_SIGHTINGS = 0.15;
+
+  private static final double LOCAL_JUMPS = 3;
+
+  /** Likely fetches always let through, as a part of requests: about the misses of a warm fleet. */
+  private static final double FETCH_FLOOR = 0.1;
+
+  /** Use of its cores at which a server's queue grows long. */
+  private static final double FULL_CORES = 0.85;
+
+  /** A key with more than this part of a server's fair share of requests is shared by several. */
+  private static final double HOT_SHARE = 0.5;
+
+  /** Seconds for which connections are closed after use: as long as a fleet keeps its size. */
+  private static final double THRIFT = 300;
+
+  private final Settings settings;
+  private final Actions actions;
+  private final SplittableRandom random;
+  private final MembershipFeed feed;
+  private final KeyHeat heat = new KeyHeat();
+  private final OriginGuard guard = new OriginGuard();
+  private final SlotTable slots = new SlotTable();
+  private final Map<String, Settings.ServiceClass> classes = new HashMap<>();
+  private final Map<String, PendingRequest> pending = new HashMap<>();
+  private final Map<Long, PendingRequest> bySerial = new HashMap<>();
+  private List<ServerHealth> ready = List.of();
+  private List<ServerHealth> origins = List.of();
+  private double totalWeight;
+  private double greatestShare = 1;
+  private double usualStrain;
+  private boolean fewFailing;
+  private int inFlight;
+  private long serials;
+  private double retryTokens = RETRY_BURST;
+  private double warmRate;
+  private double warmAnswers;
+  private double answerRate = Double.POSITIVE_INFINITY;
+  private double answers;
+  private double thriftUntil = Double.NEGATIVE_INFINITY;
+  private int requests;
+  private double requestRate;
+  private double rateAt = Double.NaN;
+
+  /** A balancer that knows nothing yet. */
+  public Balancer(Settings settings, long seed, Actions actions) {
+    this.settings = settings;
+    this.actions = actions;
+    this.random = new SplittableRandom(seed);
+    this.feed = new MembershipFeed(settings, actions, random.split());
+    for (Settings.ServiceClass service : settings.services()) {
+      classes.put(service.name(), service);
+    }
+  }
+
+  /** News of the list of servers. */
+  public void membership(double now, MembershipUpdate update) {
+    feed.apply(now, update);
+    List<ServerHealth> caches = new ArrayList<>();
+    List<ServerHealth> fetchers = new ArrayList<>();
+    totalWeight = 0;
+    for (ServerHealth server : feed.ready()) {
+      if (server.entry.kind().equals(settings.cache().originKind())) {
+        fetchers.add(server);
+      } else {
+        caches.add(server);
+        totalWeight += weight(server);
+      }
+    }
+    boolean weighted =
+        settings.weights() == Settings.Weights.NOMINAL
+            || settings.weights() == Settings.Weights.ROUGH;
+    if (!caches.equals(ready) || (weighted && update.kind() != MembershipUpdate.Kind.FAILED)) {
+      slots.rebuild(caches, weighted);
+    }
+    ready = caches;
+    origins = fetchers;
+  }
+
+  private double weight(ServerHealth server) {
+    return settings.weights() == Settings.Weights.NONE ? 1 : LoadCap.usable(server.entry.weight());
+  }
+
+  /** A client's request. */
+  public void request(double now, Request request) {
+    Settings.ServiceClass type = classes.get(request.serviceClass());
+    if (type == null) {
+      type = Settings.ServiceClass.unknown(request.serviceClass(), request.budget());
+    }
+    everySecond(now);
+    requests++;
+    String subject = request.key() != null ? request.key() : request.id();
+    PendingRequest p =
+        new PendingRequest(request, type, SlotTable.hash(subject), serials += 2, now);
+    pending.put(request.id(), p);
+    bySerial.put(p.serial, p);
+    if (request.key() != null) {
+      shareOut(now, p);
+    }
+    // Rule 1: whatever else happens, the request is answered when its time is up.
+    actions.wake(p.serial, Math.max(0, p.deadline - now));
+    // Guards against more work than the servers can do, where every answer would come late: no more
+    // goes out while less would be answered within the aim (Little's law). Fetches have a window of
+    // their own, and one for each server is always fair.
+    int busy = inFlight - guard.inFlight();
+    boolean hopeless = busy > ready.size() && busy > answerRate * type.aim();
+    if (hopeless || !dispatch(now, p)) {
+      giveUp(p);
+    }
+  }
+
+  /**
+   * Gives a hot key several homes, the first owners of its own sequence. Guards against the key
+   * that outgrows one server while each balancer sees too little of it to reach a cap: a key's
+   * share of this balancer's requests is about its share of everybody's. Where crossing zones is
+   * priced, a key that its zone asks for often, and any write, goes to owners in the own zone.
+   */
+  private void shareOut(double now, PendingRequest p) {
+    boolean write = p.request.write();
+    double seen = write ? 0 : heat.seen(now, p.keyHash);
+    double zones = Math.max(1, settings.zones().size());
+    double seenInZone = seen * Math.max(1, settings.instances() / zones);
+    boolean local =
+        settings.prices().crossZone() > 0
+            && (write || seenInZone * settings.prices().crossZone() >= LOCAL_SIGHTINGS);
+    double share = seen / Math.max(heat.total(), 50);
+    double servers = local ? ready.size() / zones : ready.size();
+    p.homes = (int) Math.max(1, Math.min(servers, Math.ceil(share * servers / HOT_SHARE)));
+    p.localJumps = local ? (int) (p.homes * zones * LOCAL_JUMPS) : 0;
+    p.firstHome = p.homes > 1 ? random.nextInt(p.homes) * (local ? (int) zones : 1) : 0;
+  }
+
+  /** Sends an attempt by the ordinary path; false if no server may take it. */
+  private boolean dispatch(double now, PendingRequest p) {
+    ServerHealth target = choose(now, p);
+    if (target == null) {
+      return false;
+    }
+    if (!settings.cache().aside() && p.request.key() != null && !p.request.write()) {
+      long pair = OriginGuard.pair(p, target);
+      if (guard.expectsMiss(now, pair)) {
+        boolean patient = !p.impatient;
+        boolean follows = patient && guard.follow(pair, p);
+        if (follows || guard.full(now)) {
+          if (!follows && patient) {
+            guard.park(p);
+          }
+          if (patient) {
+            hold(now, p);
+          }
+          return patient;
+        }
+        guard.started(now, pair, p, singledOut(now, target));
+      }
+    }
+    send(now, p, target);
+    return true;
+  }
+
+  /** Holds a request for a fetch, for at most half of the time in which its answer is wanted. */
+  private void hold(double now, PendingRequest p) {
+    p.waiting = true;
+    actions.wake(p.serial + HOLD, Math.max(0, p.arrived + p.type.aim() / 2 - now));
+  }
+
+  private void send(double now, PendingRequest p, ServerHealth target) {
+    target.sent(now, target.warmth(now) < 1);
+    p.sent(target, now);
+    inFlight++;
+    actions.send(p.request.id(), target.id, 0);
+  }
+
+  /**
+   * Once a second, the fleet's usual strain, how many fail, and the rates. The warm rate counts
+   * answers: in a storm of retries sends say nothing of what a server can do.
+   */
+  private void everySecond(double now) {
+    rateAt = Double.isNaN(rateAt) ? now : rateAt;
+    if (now - rateAt >= 1) {
+      // Shares are relative: what strains all servers alike moves no key.
+      greatestShare = 0.02;
+      double[] strains = new double[ready.size()];
+      for (int i = 0; i < strains.length; i++) {
+        greatestShare = Math.max(greatestShare, ready.get(i).share(now));
+        strains[i] = ready.get(i).strain(now);
+      }
+      fewFailing = 3 * ready.stream().filter(s -> s.unserved > 1).count() < ready.size();
+      Arrays.sort(strains);
+      usualStrain = strains.length == 0 ? 0 : strains[strains.length / 2];
+      double weight = 0;
+      for (ServerHealth server : ready) {
+        if (server.warmth(now) >= 1 && !server.suspect()) {
+          weight += weight(server);
+        }
+      }
+      if (weight > 0) {
+        double rate = warmAnswers / (now - rateAt) / weight;
+        warmRate = warmRate == 0 ? rate : warmRate + 0.3 * (rate - warmRate);
+      }
+      warmAnswers = 0;
+      double answered = answers / (now - rateAt);
+      answerRate = Double.isInfinite(answerRate) ? answered : 0.5 * (answerRate + answered);
+      answers = 0;
+      // Slowly averaged, lest a storm of clients' tries raise it.
+      requestRate += (requestRate == 0 ? 1 : 0.05) * (requests / (now - rateAt) - requestRate);
+      guard.floor = FETCH_FLOOR * requestRate;
+      requests = 0;
+      rateAt = now;
+    }
+  }
+
+  /** The first owner of h(key, 0), h(key, 1), ... that is below its cap. */
+  private ServerHealth choose(double now, PendingRequest p) {
+    if (settings.cache().aside() && p.request.write()) {
+      return leastLoaded(now, p, origins);
+    }
+    ServerHealth spare = null;
+    double spareFill = Double.POSITIVE_INFINITY;
+    for (int jump = 0; jump < p.localJumps + MAX_JUMPS; jump++) {
+      ServerHealth server = slots.owner(p.keyHash, p.hashAttempt(jump));
+      if (server == null) {
+        return null;
+      }
+      if (jump < p.localJumps && !server.entry.zone().equals(settings.zone())) {
+        continue;
+      }
+      if (!p.maySend(server, now, settings.limits()) || p.tried(server)) {
+        continue;
+      }
+      if (server.suspect()) {
+        if (jump <= p.localJumps
+            && p.type.effect() == Settings.Effect.SAFE
+            && server.trialDue(now)) {
+          return server;
+        }
+        continue;
+      }
+      if (coldFull(now, server)) {
+        continue;
+      }
+      if (!server.keeps(now, p.keyHash, greatestShare)) {
+        continue;
+      }
+      int cap = LoadCap.cap(inFlight + 1, weight(server), totalWeight, settings.instances());
+      if (server.inFlight < cap) {
+        return server;
+      }
+      double fill = (double) server.inFlight / cap;
+      if (fill < spareFill && server.warmth(now) >= 1) {
+        spare = server;
+        spareFill = fill;
+      }
+    }
+    return spare != null ? spare : leastLoaded(now, p, ready);
+  }
+
+  private boolean coldFull(double now, ServerHealth server) {
+    return server.warmth(now) < 1 && !server.coldRoom(now, warmRate * weight(server));
+  }
+
+  /** The defined end where every jump failed: the emptiest server that may take the request. */
+  private ServerHealth leastLoaded(double now, PendingRequest p, List<ServerHealth> among) {
+    ServerHealth best = null;
+    for (ServerHealth server : among) {
+      if (!p.maySend(server, now, settings.limits())
+          || (server.suspect() && !server.trialDue(now))
+          || coldFull(now, server)) {
+        continue;
+      }
+      if (best == null || server.inFlight < best.inFlight) {
+        best = server;
+      }
+    }
+    return best;
+  }
+
+  /** Answers a request that has no attempt out and gets no other. */
+  private void giveUp(PendingRequest p) {
+    if (!p.answered && p.out == 0 && !p.waiting) {
+      answer(p);
+    }
+  }
+
+  /** The final answer of a request that no server answered. */
+  private void answer(PendingRequest p) {
+    if (p.out == 0 && p.mayRefuse()) {
+      actions.refuse(p.request.id(), 0);
+    } else {
+      actions.fail(p.request.id());
+    }
+    over(p);
+  }
+
+  /** The request has its final answer; its attempts may still be out. */
+  private void over(PendingRequest p) {
+    p.answered = true;
+    bySerial.remove(p.serial);
+    if (p.out == 0) {
+      pending.remove(p.request.id());
+    }
+  }
+
+  /** A streamed answer has begun: it belongs to the client and has no deadline any more. */
+  public void streamStarted(double now, String requestId, int attempt) {
+    PendingRequest p = pending.get(requestId);
+    if (p != null && p.isOut(attempt)) {
+      p.streaming = true;
+    }
+  }
+
+  /** An attempt has ended. */
+  public void outcome(double now, Outcome outcome) {
+    PendingRequest p = pending.get(outcome.requestId());
+    if (p == null || !p.ended(outcome.attempt(), outcome.result().provesNotRun())) {
+      return;
+    }
+    inFlight--;
+    ServerHealth server = p.tries.get(outcome.attempt()).server;
+    boolean refused = server.ended(now, outcome, settings.limits().idleTimeout(), fewFailing);
+    thrift(now, server, refused);
+    if (outcome.result() == Outcome.Result.OK) {
+      retryTokens = Math.min(RETRY_BURST, retryTokens + RETRY_SHARE);
+      answers++;
+      if (server.warmth(now) >= 1) {
+        warmAnswers++;
+      }
+    }
+    // First: a retry would take the place of the fetch that has ended, and keep its key shut.
+    learn(now, p, server, outcome);
+    if (outcome.ended() || outcome.result() == Outcome.Result.OK || p.answered) {
+      over(p);
+    } else if (p.out == 0) {
+      next(now, p, outcome);
+    }
+  }
+
+  /**
+   * Closes a connection that is not in use, while servers that run refuse new ones. Guards against
+   * more balancers than a server takes connections, each of which keeps one that it hardly uses.
+   */
+  private void thrift(double now, ServerHealth server, boolean refused) {
+    if (refused) {
+      thriftUntil = now + THRIFT;
+    }
+    if (now < thriftUntil && server.inFlight == 0) {
+      actions.closeIdle(server.id);
+      server.connectedAt = Double.NEGATIVE_INFINITY;
+    }
+  }
+
+  /**
+   * What an outcome says of its server's strain; fetches say more of the origin. Strain is set
+   * against the fleet's, so that a slow origin, which makes hits wait behind fetches everywhere,
+   * moves no keys to caches lacking them.
+   */
+  private void judge(double now, PendingRequest p, ServerHealth server, Outcome outcome) {
+    boolean fetch =
+        outcome.attempt() == p.fetchAttempt
+            || outcome.note() == Outcome.Note.MISS
+            || outcome.note() == Outcome.Note.MISS_PENDING;
+    // A hung server has no hits to tell of it: while fetches fare well elsewhere it is blamed.
+    boolean hung =
+        outcome.result() == Outcome.Result.TIMEOUT
+            && (!guard.troubled() || singledOut(now, server));
+    double fair = fairStrain();
+    if (outcome.load() != null && outcome.load().utilization() >= 0) {
+      server.strained(now, outcome.load().utilization() / FULL_CORES, fair);
+    }
+    if (p.request.write() || fetch && !hung && outcome.note() != Outcome.Note.HIT) {
+      return;
+    }
+    if (outcome.result() == Outcome.Result.OK) {
+      server.strained(now, outcome.elapsed() / (FAIR_PART_OF_AIM * p.type.aim()), fair);
+    } else if (outcome.result() == Outcome.Result.TIMEOUT
+        || outcome.result() == Outcome.Result.FULL) {
+      server.strained(now, 2, fair);
+    }
+  }
+
+  /** What an outcome says of the caches and the origin, and who may go on because of it. */
+  private void learn(double now, PendingRequest p, ServerHealth server, Outcome outcome) {
+    judge(now, p, server, outcome);
+    boolean ok = outcome.result() == Outcome.Result.OK;
+    if (ok && !p.request.write()) {
+      guard.answered(now, OriginGuard.pair(p, server), outcome.note());
+    }
+    if (outcome.attempt() == p.fetchAttempt) {
+      boolean late = outcome.elapsed() > p.type.aim();
+      boolean hit = outcome.note() == Outcome.Note.HIT;
+      // A strained server makes its fetches late or full by itself: that is no sign of the origin.
+      boolean failed =
+          outcome.result() == Outcome.Result.ERROR
+              || ((outcome.result() == Outcome.Result.TIMEOUT
+                      || outcome.result() == Outcome.Result.FULL
+                      || (ok && late && !hit))
+                  && !singledOut(now, server));
+      List<PendingRequest> followers = guard.over(now, p, ok && !late, failed);
+      for (PendingRequest follower : followers) {
+        if (follower.waiting && !follower.answered) {
+          resume(now, follower);
+        }
+      }
+    }
+    for (PendingRequest next = guard.unpark(now); next != null; next = guard.unpark(now)) {
+      resume(now, next);
+    }
+  }
+
+  /** Whether a server is strained beyond the others, so that the cause is its own. */
+  private boolean singledOut(double now, ServerHealth server) {
+    return server.strain(now) > fairStrain()
+        || (fewFailing && server.unserved >= ServerHealth.UNSERVED_AFTER - 1);
+  }
+
+  private double fairStrain() {
+    return Math.max(1, 1.5 * usualStrain);
+  }
+
+  private void resume(double now, PendingRequest p) {
+    p.waiting = false;
+    if (!dispatch(now, p)) {
+      giveUp(p);
+    }
+  }
+
+  private void next(double now, PendingRequest p, Outcome outcome) {
+    if (now >= p.deadline - settings.tick()) {
+      answer(p);
+      return;
+    }
+    if (outcome.result() == Outcome.Result.NOT_STORED) {
+      ServerHealth origin = leastLoaded(now, p, origins);
+      if (origin != null) {
+        send(now, p, origin);
+        return;
+      }
+    } else if (outcome.result().unreachable() || (retryTokens >= 1 && !guard.troubled())) {
+      // Not while fetches fail: a retry would be one more of them.
+      retryTokens -= outcome.result().unreachable() ? 0 : 1;
+      if (dispatch(now, p)) {
+        return;
+      }
+    }
+    giveUp(p);
+  }
+
+  /** The client has left; nothing is owed any more. */
+  public void clientGone(double now, String requestId) {
+    PendingRequest p = pending.get(requestId);
+    if (p == null || p.answered) {
+      return;
+    }
+    if (settings.limits().mayCancel() && !p.streaming) {
+      for (int i = 0; i < p.tries.size(); i++) {
+        if (p.isOut(i)) {
+          actions.cancel(requestId, i);
+        }
+      }
+    }
+    over(p);
+  }
+
+  /** A timer set earlier came due. */
+  public void timer(double now, long token) {
+    if (token == FEED_TOKEN) {
+      feed.timer(now);
+      return;
+    }
+    PendingRequest p = bySerial.get(token & ~HOLD);
+    if (p == null || p.answered || p.streaming) {
+      return;
+    }
+    if ((token & HOLD) != 0) {
+      p.impatient = true;
+      if (p.waiting) {
+        resume(now, p);
+      }
+      return;
+    }
+    answer(p);
+  }
+
+  /** A probe has ended: none is sent, requests themselves are the trials. */
+  public void probeResult(
+      double now, long server, Outcome.Result result, double elapsed, LoadReport load) {}
+
+  /** A peer's message: nothing is said among balancers, each decides by what it sees. */
+  public void peerMessage(double now, int from, String text) {}
+}
--- /dev/null
+++ b/src/main/java/beamspread/policy/MembershipFeed.java
@@ -0,0 +1,120 @@
+package beamspread.policy;
+
+import beamspread.model.MembershipUpdate;
+import beamspread.model.ServerEntry;
+import beamspread.model.Settings;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+
+/** Follows the list of servers and keeps asking for it where it must be asked. */
+final class MembershipFeed {
+  private final Settings settings;
+  private final Actions actions;
+  private final SplittableRandom random;
+  private final TreeMap<Long, ServerHealth> servers = new TreeMap<>();
+  private boolean launched;
+  private boolean subscribed;
+  private double callAt = Double.POSITIVE_INFINITY;
+  private int failures;
+
+  MembershipFeed(Settings settings, Actions actions, SplittableRandom random) {
+    this.settings = settings;
+    this.actions = actions;
+    this.random = random;
+  }
+
+  /** All servers of the list that are ready, by id. */
+  List<ServerHealth> ready() {
+    List<ServerHealth> found = new ArrayList<>();
+    for (ServerHealth server : servers.values()) {
+      if (server.ready()) {
+        found.add(server);
+      }
+    }
+    return found;
+  }
+
+  /** Takes news of the list in. */
+  void apply(double now, MembershipUpdate update) {
+    switch (update.kind()) {
+      case FAILED -> {
+        // The list service is small and shared: back off with jitter so that balancers whose
+        // calls failed together do not come back together, yet never as long as askWithin.
+        subscribed = false;
+        failures = Math.min(failures + 1, 8);
+        double longest = Math.max(settings.contract().askWithin() * 0.4, settings.tick());
+        double pause = Math.min(longest, 0.25 * Math.pow(2, failures));
+        callIn(now, pause * (0.5 + 0.5 * random.nextDouble()));
+      }
+      case FULL, REMEMBERED -> {
+        TreeMap<Long, ServerHealth> old = new TreeMap<>(servers);
+        for (ServerEntry entry : update.entries()) {
+          old.remove(entry.id());
+          put(now, entry);
+        }
+        for (ServerHealth lost : old.values()) {
+          remove(lost);
+        }
+        answered(update.kind());
+      }
+      case CHANGES -> {
+        for (ServerEntry entry : update.entries()) {
+          put(now, entry);
+        }
+        answered(update.kind());
+      }
+    }
+    if (!launched) {
+      launched = true;
+      if (settings.asksForList()) {
+        // Restarted balancers start together: spread their first calls by a little.
+        callIn(now, Math.min(0.02 * settings.instances(), 0.5) * random.nextDouble());
+      }
+    }
+  }
+
+  private void answered(MembershipUpdate.Kind kind) {
+    if (kind != MembershipUpdate.Kind.REMEMBERED) {
+      subscribed = true;
+      failures = 0;
+      callAt = Double.POSITIVE_INFINITY;
+    }
+  }
+
+  private void put(double now, ServerEntry entry) {
+    ServerHealth server = servers.get(entry.id());
+    if (entry.state() == ServerEntry.State.GONE) {
+      if (server != null) {
+        remove(server);
+      }
+    } else if (server == null) {
+      servers.put(entry.id(), new ServerHealth(entry, now, settings.contract()));
+    } else {
+      server.listed(entry, now);
+    }
+  }
+
+  private void remove(ServerHealth server) {
+    server.listed = false;
+    servers.remove(server.id);
+  }
+
+  private void callIn(double now, double delay) {
+    callAt = now + delay;
+    actions.wake(Balancer.FEED_TOKEN, delay);
+  }
+
+  /** The feed's timer came due. */
+  void timer(double now) {
+    if (subscribed || !settings.asksForList()) {
+      return;
+    }
+    if (now + 1e-6 >= callAt) {
+      actions.subscribe(true);
+      // A call whose answer never comes must not leave this balancer silent.
+      callIn(now, Math.max(settings.contract().askWithin() * 0.8, settings.tick()));
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/beamspread/policy/PendingRequest.java
@@ -0,0 +1,149 @@
+package beamspread.policy;
+
+import beamspread.model.Request;
+import beamspread.model.ServerEntry;
+import beamspread.model.Settings;
+import java.util.ArrayList;
+import java.util.List;
+
+/** A request and its attempts: what rules 1 and 2 (one answer, no effect twice) are kept by. */
+final class PendingRequest {
+  /** What is known of an attempt. */
+  private enum Fate {
+    OUT,
+    NOT_RUN,
+    MAY_HAVE_RUN
+  }
+
+  /** One attempt. */
+  static final class Attempt {
+    final ServerHealth server;
+    final double sentAt;
+    private Fate fate = Fate.OUT;
+
+    Attempt(ServerHealth server, double sentAt) {
+      this.server = server;
+      this.sentAt = sentAt;
+    }
+  }
+
+  final Request request;
+  final Settings.ServiceClass type;
+  final long keyHash;
+  final long serial;
+  final double arrived;
+  final double deadline;
+
+  /** How many owners of the key's sequence share it, and with which of them to begin. */
+  int homes = 1;
+
+  int firstHome;
+
+  /** How many jumps look for a server in the balancer's own zone before any may take it. */
+  int localJumps;
+
+  final List<Attempt> tries = new ArrayList<>(2);
+  int out;
+  boolean answered;
+  boolean streaming;
+
+  /** Whether it is held for a fetch. */
+  boolean waiting;
+
+  /** Whether it has been held for as long as it may be. */
+  boolean impatient;
+
+  /** Which attempt is a likely fetch, of what, and whether it counts among those in flight. */
+  int fetchAttempt = -1;
+
+  long fetchPair;
+  boolean fetchCounted;
+
+  PendingRequest(
+      Request request, Settings.ServiceClass type, long keyHash, long serial, double now) {
+    this.request = request;
+    this.type = type;
+    this.keyHash = keyHash;
+    this.serial = serial;
+    this.arrived = now;
+    this.deadline = now + request.budget();
+  }
+
+  void sent(ServerHealth server, double now) {
+    tries.add(new Attempt(server, now));
+    out++;
+  }
+
+  /** Notes an attempt's end; false if it was not out. */
+  boolean ended(int attempt, boolean provenNotRun) {
+    if (!isOut(attempt)) {
+      return false;
+    }
+    tries.get(attempt).fate = provenNotRun ? Fate.NOT_RUN : Fate.MAY_HAVE_RUN;
+    out--;
+    return true;
+  }
+
+  boolean isOut(int attempt) {
+    return attempt >= 0 && attempt < tries.size() && tries.get(attempt).fate == Fate.OUT;
+  }
+
+  /** The attempt number to hash the key with at the given jump: its homes in turn, then onward. */
+  int hashAttempt(int jump) {
+    if (jump < localJumps) {
+      return (firstHome + jump) % localJumps;
+    }
+    int onward = jump - localJumps;
+    return onward < homes ? (firstHome + onward) % homes : onward;
+  }
+
+  /** Whether an attempt to this server went out before. */
+  boolean tried(ServerHealth server) {
+    return tries.stream().anyMatch(attempt -> attempt.server == server);
+  }
+
+  /**
+   * Rule 2: whether one more attempt may go to this server. Guards against an effect carried out
+   * twice: everything may be sent while no attempt can have run; after that only what is safe to
+   * repeat, or what the same group of servers still remembers.
+   */
+  boolean maySend(ServerHealth server, double now, Settings.Limits limits) {
+    boolean alone = out == 0 || limits.parallelAttempts();
+    if (answered || streaming || tries.size() >= limits.maxAttempts() || !alone) {
+      return false;
+    }
+    Attempt first = firstThatMayHaveRun();
+    return switch (type.effect()) {
+      case SAFE -> true;
+      case UNSAFE -> first == null;
+      case KEYED ->
+          first == null
+              || (sameGroup(first.server.entry, server.entry)
+                  && now + limits.connectTimeout() < first.sentAt + type.repeatWindow());
+    };
+  }
+
+  /** Rule 2: whether the client may be told that a new try does no harm. */
+  boolean mayRefuse() {
+    return type.effect() == Settings.Effect.SAFE
+        || firstThatMayHaveRun() == null
+        || (type.effect() == Settings.Effect.KEYED && type.group() == Settings.Group.ALL);
+  }
+
+  private Attempt firstThatMayHaveRun() {
+    for (Attempt attempt : tries) {
+      if (attempt.fate != Fate.NOT_RUN) {
+        return attempt;
+      }
+    }
+    return null;
+  }
+
+  private boolean sameGroup(ServerEntry a, ServerEntry b) {
+    return switch (type.group()) {
+      case ALL -> true;
+      case ZONE -> a.zone().equals(b.zone());
+      case CELL -> a.cell() == b.cell() && a.zone().equals(b.zone());
+    };
+  }
+}
--- /dev/null
+++ b/src/main/java/beamspread/policy/ServerHealth.java
@@ -0,0 +1,201 @@
+package beamspread.policy;
+
+import beamspread.model.Outcome;
+import beamspread.model.ServerEntry;
+import beamspread.model.Settings;
+
+/** What this balancer knows of one server: its list entry, requests in flight, health, warmth. */
+final class ServerHealth {
+  /** Failures to connect in a row that make a server suspect; one may be a full server's. */
+  private static final int SUSPECT_AFTER = 2;
+
+  /** Attempts in a row not served that make a server suspect, where most servers fare well. */
+  static final int UNSERVED_AFTER = 3;
+
+  /** Pause before a suspect's first trial, and the longest one, in seconds. */
+  private static final double FIRST_PAUSE = 0.5;
+
+  private static final double LONGEST_PAUSE = 4;
+
+  /** Seconds in which unrenewed strain fades to a third. */
+  private static final double STRAIN_FADES = 3;
+
+  final long id;
+  ServerEntry entry;
+  int inFlight;
+
+  /**
+   * The share of its keys that the server is offered, learned from how it fares: the others jump.
+   * Which keys stay goes by their hash alone, so balancers that learn alike move the same keys.
+   */
+  private double share = 1;
+
+  /** How strained it is, lately: above 1 its answers come late or its cores are all in use. */
+  private double strain = 0.5;
+
+  private double learnedAt;
+
+  private final Settings.Contract contract;
+  boolean listed = true;
+  private double startedAt;
+  private int failures;
+  private double pause;
+  private double trialAt;
+  private boolean trialOut;
+
+  /** Attempts in a row that it did not serve. */
+  int unserved;
+
+  /** When a connection was last in use; none is held when this is too long ago. */
+  double connectedAt = Double.NEGATIVE_INFINITY;
+
+  /** Whether its process ended by what was seen: it refuses, though a connection was held. */
+  private boolean died;
+
+  private double tokens;
+  private double tokensAt;
+
+  ServerHealth(ServerEntry entry, double now, Settings.Contract contract) {
+    this.id = entry.id();
+    this.entry = entry;
+    this.contract = contract;
+    this.startedAt = entry.startedAt() > 0 ? entry.startedAt() : Double.NEGATIVE_INFINITY;
+    this.tokensAt = now;
+    this.learnedAt = now;
+  }
+
+  /** The list has news of this server; a new start means an empty cache and a cold machine. */
+  void listed(ServerEntry news, double now) {
+    if (news.startedAt() > entry.startedAt()) {
+      startedAt = Math.max(startedAt, news.startedAt());
+      failures = 0;
+      trialOut = false;
+      tokens = 0;
+      tokensAt = now;
+    }
+    entry = news;
+    listed = true;
+  }
+
+  /** Rule 3: only servers that the list calls ready get anything new. */
+  boolean ready() {
+    return listed && entry.state() == ServerEntry.State.READY;
+  }
+
+  boolean suspect() {
+    return failures >= SUSPECT_AFTER;
+  }
+
+  /** Whether a suspect server may get a trial request now: one at a time, after a pause. */
+  boolean trialDue(double now) {
+    return !trialOut && now >= trialAt;
+  }
+
+  /**
+   * A sign of strain, 1 being the most that is fair. Guards against servers that are slower than
+   * the list says, or have more than their part of the keys, where each balancer has too few
+   * requests in flight for a cap to act.
+   */
+  void strained(double now, double sample, double fair) {
+    strain = strain(now) + 0.2 * (Math.min(4, Math.max(0, sample)) - strain(now));
+    double clipped = Math.min(4, Math.max(0, sample / fair));
+    if (clipped > 1) {
+      // A balancer that sees little learns more from each sample: it speaks for the time before it.
+      double gain = Math.max(0.1, Math.min(0.25, 0.2 * (now - learnedAt)));
+      share *= 1 - gain * (clipped - 1);
+    } else {
+      share += 0.05 * (1 - clipped) * Math.max(share, 0.2);
+    }
+    // Without any sample the share still comes back slowly: a server with few keys has few.
+    share += 0.02 * Math.min(5, Math.max(0, now - learnedAt));
+    share = Math.min(1, Math.max(0.02, share));
+    learnedAt = now;
+  }
+
+  /** Old strain fades: a server that gets nothing must not be held strained for good. */
+  double strain(double now) {
+    return strain * Math.exp(Math.min(0, learnedAt - now) / STRAIN_FADES);
+  }
+
+  double share(double now) {
+    return Math.min(1, share + 0.02 * Math.max(0, now - learnedAt));
+  }
+
+  /** Whether the key is among those that the server keeps while it is offered but a share. */
+  boolean keeps(double now, long keyHash, double most) {
+    double kept = share(now) / most;
+    return kept >= 1 || SlotTable.fraction(keyHash ^ SlotTable.mix(id)) < kept;
+  }
+
+  /** The share of its capacity that a started server has by the contract: 1 once it is warm. */
+  double warmth(double now) {
+    double age = now - startedAt;
+    if (!(age < contract.warmWithin())) {
+      return 1;
+    }
+    double from = Math.max(0.01, Math.min(1, contract.coldFrom()));
+    return from + (1 - from) * Math.max(0, age) / contract.warmWithin();
+  }
+
+  /**
+   * Rule 4: whether a cold server's budget has room for one more request. The rate is at which warm
+   * servers of like weight answer this balancer, times what the cold one can do by now.
+   */
+  boolean coldRoom(double now, double warmRate) {
+    double rate = warmRate * warmth(now);
+    tokens = Math.min(Math.max(1, rate * 0.25), tokens + (now - tokensAt) * rate);
+    tokensAt = now;
+    return tokens >= 1;
+  }
+
+  void sent(double now, boolean cold) {
+    inFlight++;
+    if (cold) {
+      tokens -= 1;
+    }
+    if (suspect()) {
+      trialOut = true;
+    }
+  }
+
+  /** An attempt ended; true if the server refused a connection and may yet be running. */
+  boolean ended(double now, Outcome outcome, double idleTimeout, boolean few) {
+    Outcome.Result result = outcome.result();
+    boolean served = result == Outcome.Result.OK || result == Outcome.Result.NOT_STORED;
+    // An error that names a miss is the origin's.
+    boolean failed =
+        result == Outcome.Result.TIMEOUT
+            || result == Outcome.Result.FULL
+            || (result == Outcome.Result.ERROR && outcome.note() == Outcome.Note.NONE);
+    unserved = served ? 0 : unserved + (failed ? 1 : 0);
+    inFlight--;
+    trialOut = false;
+    boolean was = suspect();
+    if (result.unreachable()) {
+      // A network breaks connections to servers that run; one whose process ended refuses new ones.
+      died |= result == Outcome.Result.CONNECT_FAILED && now - connectedAt < idleTimeout;
+      failures++;
+    } else if (result.fromServer()) {
+      connectedAt = now;
+      if (was && died) {
+        // It was down and answers again before the list has told: its process is new and cold.
+        startedAt = Math.max(startedAt, now);
+        tokens = 0;
+        tokensAt = now;
+      }
+      failures = 0;
+      died = false;
+    }
+    // Guards against servers that hang, whose fetches would be taken for the origin's losses, and
+    // against those that turn all away at once and so draw the most; not where many do so, for that
+    // has a cause that they share.
+    if (failed && few && unserved >= UNSERVED_AFTER) {
+      failures = SUSPECT_AFTER;
+    }
+    if (suspect() && !served) {
+      pause = was ? Math.min(LONGEST_PAUSE, pause * 1.5) : FIRST_PAUSE;
+      trialAt = now + pause;
+    }
+    return result == Outcome.Result.CONNECT_FAILED && !died;
+  }
+}
--- /dev/null
+++ b/src/main/java/beamspread/sim/ActionWriter.java
@@ -0,0 +1,129 @@
+package beamspread.sim;
+
+import beamspread.policy.Actions;
+import com.fasterxml.jackson.core.JsonGenerator;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+
+/** Writes the actions of one instance in the wire's words. */
+final class ActionWriter implements Actions {
+  private final JsonGenerator out;
+  private final long instance;
+
+  ActionWriter(JsonGenerator out, long instance) {
+    this.out = out;
+    this.instance = instance;
+  }
+
+  /** The fields of one action. */
+  private interface Fields {
+    void write() throws IOException;
+  }
+
+  private void action(String type, Fields fields) {
+    try {
+      out.writeStartObject();
+      out.writeStringField("type", type);
+      out.writeNumberField("i", instance);
+      fields.write();
+      out.writeEndObject();
+      out.writeRaw('\n');
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  @Override
+  public void send(String requestId, long server, double timeout) {
+    action(
+        "PASS_ON",
+        () -> {
+          out.writeStringField("handle", requestId);
+          out.writeNumberField("server", server);
+          if (timeout > 0) {
+            out.writeNumberField("max-wait", timeout);
+          }
+        });
+  }
+
+  @Override
+  public void cancel(String requestId, int attempt) {
+    action(
+        "REVOKE",
+        () -> {
+          out.writeStringField("handle", requestId);
+          out.writeNumberField("trial", attempt);
+        });
+  }
+
+  @Override
+  public void refuse(String requestId, double retryAfter) {
+    action(
+        "BUSY",
+        () -> {
+          out.writeStringField("handle", requestId);
+          if (retryAfter > 0) {
+            out.writeNumberField("cool-down", retryAfter);
+          }
+        });
+  }
+
+  @Override
+  public void fail(String requestId) {
+    action("ERROR", () -> out.writeStringField("handle", requestId));
+  }
+
+  @Override
+  public void wake(long token, double delay) {
+    action(
+        "WAKE_ME",
+        () -> {
+          out.writeNumberField("key-back", token);
+          out.writeNumberField("wait", delay);
+        });
+  }
+
+  @Override
+  public void subscribe(boolean on) {
+    action("SUBSCRIBE", () -> out.writeBooleanField("active", on));
+  }
+
+  @Override
+  public void readList() {
+    action("READ_LIST", () -> {});
+  }
+
+  @Override
+  public void probe(long server) {
+    action("TEST", () -> out.writeNumberField("server", server));
+  }
+
+  @Override
+  public void closeIdle(long server) {
+    action("SHUT_IDLE", () -> out.writeNumberField("server", server));
+  }
+
+  @Override
+  public void tellPeer(int peer, String message) {
+    action(
+        "BROADCAST_TO",
+        () -> {
+          if (peer >= 0) {
+            out.writeNumberField("dst", peer);
+          } else {
+            out.writeNullField("dst");
+          }
+          out.writeStringField("raw", message);
+        });
+  }
+
+  @Override
+  public void log(String text) {
+    action("NOTE_DOWN", () -> out.writeStringField("text", text));
+  }
+
+  /** Declares the decision code broken. */
+  void exception(String text) {
+    action("EXCEPTION", () -> out.writeStringField("text", text));
+  }
+}
--- /dev/null
+++ b/src/main/java/beamspread/sim/Message.java
@@ -0,0 +1,158 @@
+package beamspread.sim;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** One JSON object of the wire, with typed access to its fields. */
+public final class Message {
+  private static final JsonFactory FACTORY = new JsonFactory();
+  private final Map<String, Object> fields;
+
+  private Message(Map<String, Object> fields) {
+    this.fields = fields;
+  }
+
+  /** Parses one JSON object, which must be all of the text. */
+  public static Message parse(String line) throws WireException {
+    try (JsonParser parser = FACTORY.createParser(line)) {
+      if (parser.nextToken() != JsonToken.START_OBJECT) {
+        throw new WireException("not a JSON object");
+      }
+      Message message = new Message(object(parser));
+      if (parser.nextToken() != null) {
+        throw new WireException("more than one JSON value");
+      }
+      return message;
+    } catch (IOException e) {
+      throw new WireException("not JSON");
+    }
+  }
+
+  private static Map<String, Object> object(JsonParser parser) throws IOException {
+    Map<String, Object> map = new HashMap<>();
+    while (parser.nextToken() != JsonToken.END_OBJECT) {
+      String name = parser.currentName();
+      parser.nextToken();
+      map.put(name, value(parser));
+    }
+    return map;
+  }
+
+  private static Object value(JsonParser parser) throws IOException {
+    switch (parser.currentToken()) {
+      case START_OBJECT:
+        return new Message(object(parser));
+      case START_ARRAY:
+        List<Object> list = new ArrayList<>();
+        while (parser.nextToken() != JsonToken.END_ARRAY) {
+          list.add(value(parser));
+        }
+        return list;
+      case VALUE_NUMBER_INT:
+      case VALUE_NUMBER_FLOAT:
+        return parser.getNumberValue();
+      case VALUE_TRUE:
+        return Boolean.TRUE;
+      case VALUE_FALSE:
+        return Boolean.FALSE;
+      case VALUE_NULL:
+        return null;
+      default:
+        return parser.getText();
+    }
+  }
+
+  private WireException wrong(String name) {
+    String type = fields.get("type") instanceof String text ? text + " " : "";
+    String what = fields.get(name) == null ? "without" : "with a wrong value of";
+    return new WireException(type + "message " + what + " field '" + name + "'");
+  }
+
+  /** A text that must be there. */
+  public String requiredText(String name) throws WireException {
+    if (fields.get(name) instanceof String text) {
+      return text;
+    }
+    throw wrong(name);
+  }
+
+  /** A number that must be there. */
+  public double requiredNumber(String name) throws WireException {
+    if (fields.get(name) instanceof Number number) {
+      return number.doubleValue();
+    }
+    throw wrong(name);
+  }
+
+  long requiredInteger(String name) throws WireException {
+    if (fields.get(name) instanceof Number number) {
+      return number.longValue();
+    }
+    throw wrong(name);
+  }
+
+  /** A text, or a number as text. */
+  public String text(String name, String absent) {
+    Object value = fields.get(name);
+    if (value instanceof String text) {
+      return text;
+    }
+    return value instanceof Number number ? number.toString() : absent;
+  }
+
+  /** A number. */
+  public double number(String name, double absent) {
+    return fields.get(name) instanceof Number number ? number.doubleValue() : absent;
+  }
+
+  /** Whether the field is true. */
+  public boolean flag(String name) {
+    return Boolean.TRUE.equals(fields.get(name));
+  }
+
+  /** The nested object of this name, an empty one where it is absent. */
+  public Message nested(String name) {
+    return fields.get(name) instanceof Message message ? message : new Message(Map.of());
+  }
+
+  /** A nested object that must be there. */
+  public Message requiredNested(String name) throws WireException {
+    if (fields.get(name) instanceof Message message) {
+      return message;
+    }
+    throw wrong(name);
+  }
+
+  boolean has(String name) {
+    return fields.get(name) != null;
+  }
+
+  /** The objects of an array, none where it is absent. */
+  public List<Message> objects(String name) {
+    List<Message> found = new ArrayList<>();
+    if (fields.get(name) instanceof List<?> list) {
+      for (Object item : list) {
+        if (item instanceof Message message) {
+          found.add(message);
+        }
+      }
+    }
+    return found;
+  }
+
+  List<String> texts(String name) {
+    List<String> found = new ArrayList<>();
+    if (fields.get(name) instanceof List<?> list) {
+      for (Object item : list) {
+        found.add(String.valueOf(item));
+      }
+    }
+    return found;
+  }
+}
--- /dev/null
+++ b/src/main/java/beamspread/sim/SimHost.java
@@ -0,0 +1,163 @@
+package beamspread.sim;
+
+import beamspread.policy.Balancer;
+import com.fasterxml.jackson.core.JsonEncoding;
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.util.MinimalPrettyPrinter;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.InputStreamReader;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Map;
+
+/** Hosts many balancers on the simulator's wire; they share nothing. */
+public final class SimHost {
+  /** A balancer and the writer that carries its actions out. */
+  private record Instance(Balancer balancer, ActionWriter actions) {}
+
+  private final BufferedReader in;
+  private final JsonGenerator out;
+  private final Map<Long, Instance> instances = new HashMap<>();
+  private boolean inBatch;
+  private boolean sawBatch;
+  private double now;
+  private long sequence;
+
+  /** A host that reads batches from {@code in} and writes replies to {@code out}. */
+  public SimHost(InputStream in, OutputStream out) throws IOException {
+    this.in = new BufferedReader(new InputStreamReader(in, StandardCharsets.UTF_8), 1 << 16);
+    this.out = new JsonFactory().createGenerator(out, JsonEncoding.UTF8);
+    this.out.setPrettyPrinter(new MinimalPrettyPrinter(""));
+  }
+
+  /** Answers batches until the input ends. */
+  public void run() throws IOException, WireException {
+    long number = 0;
+    for (String line = in.readLine(); line != null; line = in.readLine()) {
+      number++;
+      if (line.isBlank()) {
+        continue;
+      }
+      try {
+        handle(Message.parse(line));
+      } catch (WireException e) {
+        throw new WireException("line " + number + ": " + e.getMessage());
+      }
+    }
+    if (inBatch) {
+      throw new WireException("line " + number + ": input ends inside a batch");
+    }
+  }
+
+  private void handle(Message message) throws IOException, WireException {
+    String type = message.requiredText("type");
+    if (type.equals("BATCH")) {
+      begin(message);
+      return;
+    }
+    if (!inBatch) {
+      throw new WireException(type + " message outside a batch");
+    }
+    if (type.equals("OVER_TO_YOU")) {
+      inBatch = false;
+      out.writeStartObject();
+      out.writeStringField("type", "DONE");
+      out.writeNumberField("seq", sequence);
+      out.writeEndObject();
+      out.writeRaw('\n');
+      out.flush();
+      return;
+    }
+    event(type, message);
+  }
+
+  private void begin(Message message) throws WireException {
+    if (inBatch) {
+      throw new WireException("BATCH message inside a batch");
+    }
+    double time = message.requiredNumber("time");
+    long seq = message.requiredInteger("seq");
+    if (sawBatch && (time < now || seq <= sequence)) {
+      throw new WireException("BATCH message out of order");
+    }
+    now = time;
+    sequence = seq;
+    inBatch = true;
+    sawBatch = true;
+  }
+
+  private void event(String type, Message message) throws WireException {
+    long number = message.requiredInteger("i");
+    if (type.equals("LAUNCH")) {
+      long seed = message.requiredInteger("nonce64");
+      ActionWriter actions = new ActionWriter(out, number);
+      var settings = Dialect.settings(message.requiredNested("conf"));
+      guarded(
+          actions,
+          () ->
+              instances.put(number, new Instance(new Balancer(settings, seed, actions), actions)));
+      return;
+    }
+    Instance instance = instances.get(number);
+    if (instance == null) {
+      throw new WireException(type + " message for unknown instance " + number);
+    }
+    Balancer balancer = instance.balancer();
+    ActionWriter actions = instance.actions();
+    switch (type) {
+      case "DETACH" -> instances.remove(number);
+      case "SYNC" -> {
+        var update = Dialect.membership(message);
+        guarded(actions, () -> balancer.membership(now, update));
+      }
+      case "REQUEST" -> {
+        var request = Dialect.request(message);
+        guarded(actions, () -> balancer.request(now, request));
+      }
+      case "FLOWING" -> {
+        String id = message.requiredText("handle");
+        int attempt = (int) message.number("trial", 0);
+        guarded(actions, () -> balancer.streamStarted(now, id, attempt));
+      }
+      case "FINISHED" -> {
+        var outcome = Dialect.outcome(message);
+        guarded(actions, () -> balancer.outcome(now, outcome));
+      }
+      case "DROPPED" -> {
+        String id = message.requiredText("handle");
+        guarded(actions, () -> balancer.clientGone(now, id));
+      }
+      case "DEADLINE_HIT" -> {
+        long token = message.requiredInteger("key-back");
+        guarded(actions, () -> balancer.timer(now, token));
+      }
+      case "HEALTH_RESULT" -> {
+        long server = message.requiredInteger("server");
+        var result = Dialect.result(message);
+        double elapsed = message.number("delay-seen", 0);
+        var load = Dialect.load(message);
+        guarded(actions, () -> balancer.probeResult(now, server, result, elapsed, load));
+      }
+      case "WHISPER" -> {
+        int from = (int) message.requiredInteger("by");
+        String text = message.text("raw", "");
+        guarded(actions, () -> balancer.peerMessage(now, from, text));
+      }
+      default -> throw new WireException("unknown message type '" + type + "'");
+    }
+  }
+
+  /** Reports an exception inside the decision code as the wire provides. */
+  private static void guarded(ActionWriter actions, Runnable step) {
+    try {
+      step.run();
+    } catch (RuntimeException e) {
+      StackTraceElement[] trace = e.getStackTrace();
+      actions.exception(e + (trace.length > 0 ? " at " + trace[0] : ""));
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/beamspread/JarIT.java
@@ -0,0 +1,122 @@
+package beamspread;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.OutputStream;
+import java.net.ConnectException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Both commands of the deploy file, started from the built jar as they stand there. */
+@Timeout(120)
+class JarIT {
+  @TempDir private Path folder;
+
+  private static ProcessBuilder command(String name) throws IOException {
+    String line =
+        Files.readAllLines(Path.of("deploy/balancer.toml")).stream()
+            .filter(text -> text.startsWith(name + " = "))
+            .findFirst()
+            .orElseThrow();
+    String shell = line.substring(line.indexOf('"') + 1, line.lastIndexOf('"'));
+    return new ProcessBuilder(List.of("/bin/sh", "-c", shell)).redirectErrorStream(true);
+  }
+
+  private static String output(Process process) throws IOException {
+    return new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+  }
+
+  @Test
+  void simAnswersABatch() throws Exception {
+    Process process = command("sim").start();
+    try (OutputStream in = process.getOutputStream()) {
+      in.write(
+          """
+          {"type":"BATCH","time":1,"seq":1}
+          {"type":"OVER_TO_YOU"}
+          """
+              .getBytes(StandardCharsets.UTF_8));
+    }
+    assertEquals("{\"type\":\"DONE\",\"seq\":1}\n", output(process));
+    assertEquals(0, process.waitFor());
+  }
+
+  @Test
+  void runServesUntilItIsTerminated() throws Exception {
+    int port;
+    try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      port = free.getLocalPort();
+    }
+    Path config = folder.resolve("config.json");
+    Files.writeString(
+        config,
+        """
+        {"listen":"127.0.0.1:%d","discovery":"127.0.0.1:9","seed":"1",
+         "limits":{"memory_mb":192,"sockets":1024},
+         "known":{"version":1,"full":true,"servers":[]},
+         "settings":{"services":[{"name":"read","effect":"retryable","slo":0.5,"give-up":1}]}}
+        """
+            .formatted(port));
+    ProcessBuilder builder = command("run");
+    builder.environment().put("ROUTER_CONFIG", config.toString());
+    Process process = builder.start();
+    try (Socket client = connect(port, process)) {
+      client
+          .getOutputStream()
+          .write("mn\r\nmg key v Oa1 Pc=read,d=900\r\n".getBytes(StandardCharsets.US_ASCII));
+      var in =
+          new BufferedReader(
+              new InputStreamReader(client.getInputStream(), StandardCharsets.US_ASCII));
+      assertEquals("MN", in.readLine());
+      assertEquals("SERVER_ERROR busy", in.readLine());
+      process.toHandle().destroy(); // as destroy(), but its output stays open
+      assertEquals(null, in.readLine());
+    }
+    assertTrue(process.waitFor(60, TimeUnit.SECONDS));
+    assertTrue(output(process).contains("drained"));
+  }
+
+  private static Socket connect(int port, Process process) throws Exception {
+    while (true) {
+      try {
+        return new Socket(InetAddress.getLoopbackAddress(), port);
+      } catch (ConnectException e) {
+        assertTrue(process.isAlive(), "ended before it listened");
+        Thread.sleep(20);
+      }
+    }
+  }
+
+  @Test
+  void runTellsWhatIsWrongWithItsConfiguration() throws Exception {
+    Path config = folder.resolve("config.json");
+    for (String text : List.of("", "{", "{}", "{\"limits\":{},\"settings\":{}}")) {
+      Files.writeString(config, text);
+      ProcessBuilder builder = command("run");
+      builder.environment().put("ROUTER_CONFIG", config.toString());
+      Process process = builder.start();
+      String output = output(process);
+      assertEquals(1, output.lines().count(), output);
+      assertTrue(output.startsWith("serve: " + config + ": "), output);
+      assertEquals(2, process.waitFor());
+    }
+    ProcessBuilder builder = command("run");
+    builder.environment().remove("ROUTER_CONFIG");
+    Process process = builder.start();
+    assertEquals("serve: ROUTER_CONFIG does not name a file\n", output(process));
+    assertEquals(2, process.waitFor());
+  }
+}
--- /dev/null
+++ b/src/test/java/beamspread/node/DiscoveryTest.java
@@ -0,0 +1,135 @@
+package beamspread.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import org.junit.jupiter.api.Test;
+
+/** How a node follows the list of servers, over loopback sockets. */
+class DiscoveryTest {
+  private static final String HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+  private static String chunk(String text) {
+    return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+  }
+
+  /** Reads a call and returns its first line. */
+  private static String call(Peer discovery) throws IOException {
+    String first = discovery.line();
+    while (!discovery.line().isEmpty()) {
+      // The other header lines.
+    }
+    return first;
+  }
+
+  private static final String WATCH = "GET /catalog/members?follow=1&since=%d HTTP/1.1";
+
+  @Test
+  void followsAWatchFromTheVersionItKnows() throws Exception {
+    try (NodeRig rig = new NodeRig();
+        ServerSocket second = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+      second.setSoTimeout(Peer.PATIENCE_MILLIS);
+      Peer discovery = rig.acceptDiscovery();
+      assertEquals(WATCH.formatted(7), call(discovery));
+      String list = NodeRig.members(8, true, second.getLocalPort()) + "\n";
+      discovery.write(HEAD + chunk(list.substring(0, 9)) + chunk(list.substring(9)) + chunk("\n"));
+      serveOne(rig, second, "moved");
+      // A change may bring another address for a server that is known.
+      String change =
+          "{\"version\":9,\"full\":false,\"servers\":["
+              + NodeRig.member("s-" + second.getLocalPort(), rig.cache.getLocalPort(), "active")
+              + "]}\n";
+      discovery.write(chunk(change));
+      serveOne(rig, rig.cache, "back");
+      // Nothing tells a node that it is up to date but the version with which it asks again.
+      discovery.close();
+      assertEquals(WATCH.formatted(9), call(rig.acceptDiscovery()));
+    }
+  }
+
+  /**
+   * Asks until a request comes to the server; those that the old list sent elsewhere are given up.
+   */
+  private static void serveOne(NodeRig rig, ServerSocket server, String id) throws Exception {
+    server.setSoTimeout(100);
+    for (int i = 0; i < Peer.PATIENCE_MILLIS / 100; i++) {
+      try (Peer client = Peer.connect(rig.address)) {
+        client.write(NodeRig.get(id + i, 60_000));
+        Peer cache = new Peer(server.accept());
+        assertTrue(cache.line().contains("O" + id + i + " "));
+        cache.write("VA 0 O" + id + i + "\r\n\r\n");
+        assertEquals("VA 0 O" + id + i, client.line());
+        cache.close();
+        return;
+      } catch (java.net.SocketTimeoutException e) {
+        // Not yet.
+      }
+    }
+    throw new AssertionError("no request came to the server of the new list");
+  }
+
+  @Test
+  void asksAgainAfterAFailedCall() throws Exception {
+    try (NodeRig rig = new NodeRig()) {
+      Peer first = rig.acceptDiscovery();
+      call(first);
+      first.write("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+      Peer second = rig.acceptDiscovery();
+      call(second);
+      second.write(HEAD + chunk("{\"version\":\n"));
+      Peer third = rig.acceptDiscovery();
+      call(third);
+      third.write(HEAD + "0\r\n\r\n");
+      assertEquals(WATCH.formatted(7), call(rig.acceptDiscovery()));
+    }
+  }
+
+  @Test
+  void takesASilentWatchForDead() throws Exception {
+    try (NodeRig rig = new NodeRig()) {
+      Peer discovery = rig.acceptDiscovery();
+      call(discovery);
+      discovery.write(HEAD + chunk(NodeRig.members(8, true, rig.cache.getLocalPort()) + "\n"));
+      assertTrue(discovery.ended());
+      assertEquals(WATCH.formatted(8), call(rig.acceptDiscovery()));
+    }
+  }
+
+  @Test
+  void keepsAWatchUpWhereListsArePushed() throws Exception {
+    try (NodeRig rig = new NodeRig(",\"discovery\":\"push\"")) {
+      Peer discovery = rig.acceptDiscovery();
+      assertEquals(WATCH.formatted(7), call(discovery));
+      discovery.reset();
+      assertEquals(WATCH.formatted(7), call(rig.acceptDiscovery()));
+    }
+  }
+
+  @Test
+  void sharesAConnectionWhenNoFurtherOneComesUp() throws Exception {
+    ServerSocket moved = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    try (NodeRig rig = new NodeRig(3)) {
+      moved.setSoTimeout(Peer.PATIENCE_MILLIS);
+      rig.client().write(NodeRig.get("a1", 60_000));
+      assertTrue(rig.acceptCache().line().contains("Oa1 "));
+      // The server has moved: the connection to its old address only sees out what is under way.
+      Peer discovery = rig.acceptDiscovery();
+      call(discovery);
+      String server =
+          NodeRig.member("s-" + rig.cache.getLocalPort(), moved.getLocalPort(), "active");
+      discovery.write(HEAD + chunk("{\"version\":8,\"full\":true,\"servers\":[" + server + "]}\n"));
+      discovery.close();
+      assertEquals(WATCH.formatted(8), call(rig.acceptDiscovery()));
+      rig.client().write(NodeRig.get("a2", 60_000));
+      Peer second = new Peer(moved.accept());
+      assertTrue(second.line().contains("Oa2 "));
+      // Guards against a loop without end over attempts that find no connection of their own.
+      moved.close();
+      rig.client().write(NodeRig.get("a3", 60_000));
+      assertTrue(second.line().contains("Oa3 "));
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/beamspread/node/NodeRig.java
@@ -0,0 +1,119 @@
+package beamspread.node;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+/** A node on loopback with one scripted cache server and one scripted discovery. */
+final class NodeRig implements Closeable {
+  final ServerSocket cache = listen();
+  final ServerSocket discovery = listen();
+  final Node node;
+  final InetSocketAddress address;
+  private final List<Closeable> peers = new ArrayList<>();
+
+  NodeRig() throws Exception {
+    this("");
+  }
+
+  /** A node with further settings, which override the usual ones. */
+  NodeRig(String settings) throws Exception {
+    node = new Node(config(settings));
+    address = node.start();
+  }
+
+  /** A node that opens so many connections to a server. */
+  NodeRig(int connections) throws Exception {
+    node = new Node(config(""), connections);
+    address = node.start();
+  }
+
+  private static ServerSocket listen() throws IOException {
+    ServerSocket socket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    socket.setSoTimeout(Peer.PATIENCE_MILLIS);
+    return socket;
+  }
+
+  /** The configuration's text; the node listens where there is a free port. */
+  String configText(String settings) {
+    return """
+        {"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:%d","seed":"8c1f30d27a5be964",
+         "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"known":%s,
+         "settings":{"instances":1,"discovery":"ask",
+          "caps":{"attempts-cap":1,"cancel":true,"parallel-tries":true,"multiplex":32,
+                  "connect-timeout":0.15,"conn-idle":60},
+          "contract":{"ask-within":10,"drain-grace":2,"cold-from":0.1,"warm-within":1},
+          "services":[{"name":"read","effect":"retryable","slo":0.75,"give-up":2},
+                      {"name":"put","effect":"fragile","slo":0.3,"give-up":2}]%s}}
+        """
+        .formatted(discovery.getLocalPort(), members(7, true, cache.getLocalPort()), settings);
+  }
+
+  NodeConfig config(String settings) throws Exception {
+    Path file = Files.createTempFile("config", ".json");
+    try {
+      Files.writeString(file, configText(settings));
+      return NodeConfig.load(file.toString());
+    } finally {
+      Files.delete(file);
+    }
+  }
+
+  /** A list of one active server for each port. */
+  static String members(int version, boolean full, int... ports) {
+    StringBuilder servers = new StringBuilder();
+    for (int port : ports) {
+      servers.append(servers.isEmpty() ? "" : ",").append(member("s-" + port, port, "active"));
+    }
+    return "{\"version\":%d,\"full\":%b,\"servers\":[%s]}".formatted(version, full, servers);
+  }
+
+  static String member(String id, int port, String state) {
+    return """
+        {"id":"%s","addr":"127.0.0.1:%d","zone":"a","kind":"m","cell":0,"state":"%s","weight":1.0,\
+        "started_ms":0}"""
+        .formatted(id, port, state);
+  }
+
+  static String get(String id, int millis) {
+    return "mg key v O" + id + " Pc=read,d=" + millis + "\r\n";
+  }
+
+  static String put(String id, int millis, String value) {
+    return "ms key " + value.length() + " O" + id + " Pc=put,d=" + millis + "\r\n" + value + "\r\n";
+  }
+
+  Peer client() throws IOException {
+    return keep(Peer.connect(address));
+  }
+
+  /** The next connection that the node opens to the cache server. */
+  Peer acceptCache() throws IOException {
+    return keep(new Peer(cache.accept()));
+  }
+
+  Peer acceptDiscovery() throws IOException {
+    return keep(new Peer(discovery.accept()));
+  }
+
+  private Peer keep(Peer peer) {
+    peers.add(peer);
+    return peer;
+  }
+
+  @Override
+  public void close() throws IOException {
+    node.close();
+    for (Closeable peer : peers) {
+      peer.close();
+    }
+    cache.close();
+    discovery.close();
+  }
+}
--- /dev/null
+++ b/src/test/java/beamspread/node/NodeTest.java
@@ -0,0 +1,400 @@
+package beamspread.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** What clients and cache servers see of a node, over loopback sockets. */
+class NodeTest {
+  private NodeRig rig;
+
+  @BeforeEach
+  void start() throws Exception {
+    rig = new NodeRig();
+  }
+
+  @AfterEach
+  void stop() throws Exception {
+    rig.close();
+  }
+
+  private static int deadline(String command) {
+    return Integer.parseInt(command.replaceAll(".*[,P]d=(\\d+).*", "$1"));
+  }
+
+  private static void assertPassedOn(String sent, String got) {
+    String line = sent.substring(0, sent.indexOf("\r\n"));
+    assertEquals(line.replaceAll("d=\\d+", "d="), got.replaceAll("d=\\d+", "d="));
+    assertTrue(deadline(got) > 0 && deadline(got) <= deadline(line), got);
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"", " h1", " h0", " h0 Z", " h1 Linflight=7,queue=2,util=0.61"})
+  void servesARead(String notes) throws Exception {
+    Peer client = rig.client();
+    String command = "mg key v Oa1 Pc=read,t=acme,d=2000,x=y\r\n";
+    client.write(command);
+    Peer cache = rig.acceptCache();
+    assertPassedOn(command, cache.line());
+    cache.write("VA 7 Oa1" + notes + "\r\nval\r\nue\r\n");
+    assertEquals("VA 7 Oa1", client.line());
+    assertEquals("val\r\nue\r\n", text(client.bytes(9)));
+  }
+
+  private static String text(byte[] bytes) {
+    return new String(bytes, StandardCharsets.ISO_8859_1);
+  }
+
+  @Test
+  void servesAWrite() throws Exception {
+    Peer client = rig.client();
+    String command = "ms key 4 Oa1 Pc=put,d=2000,k=77\r\n\r\n\r\n\r\n";
+    client.write(command);
+    Peer cache = rig.acceptCache();
+    assertPassedOn(command, cache.line());
+    assertEquals("\r\n\r\n\r\n", text(cache.bytes(6)));
+    cache.write("HD Oa1 c99\r\n");
+    assertEquals("HD Oa1 c99", client.line());
+  }
+
+  @Test
+  void takesACommandInSingleBytes() throws Exception {
+    Peer client = rig.client();
+    for (byte b : NodeRig.put("a1", 2000, "hello").getBytes(StandardCharsets.ISO_8859_1)) {
+      client.write(new byte[] {b});
+    }
+    Peer cache = rig.acceptCache();
+    assertTrue(cache.line().startsWith("ms key 5 Oa1 "));
+    assertEquals("hello\r\n", text(cache.bytes(7)));
+    for (byte b : "HD Oa1 c1\r\n".getBytes(StandardCharsets.ISO_8859_1)) {
+      cache.write(new byte[] {b});
+    }
+    assertEquals("HD Oa1 c1", client.line());
+  }
+
+  @Test
+  void answersPipelinedCommandsInTheirOrder() throws Exception {
+    Peer client = rig.client();
+    client.write(NodeRig.get("a1", 2000) + "mn\r\n" + NodeRig.get("a2", 2000));
+    Peer first = rig.acceptCache();
+    Peer second = rig.acceptCache();
+    String id = first.line().contains("Oa1 ") ? "a1" : "a2";
+    Peer late = id.equals("a1") ? first : second;
+    Peer early = id.equals("a1") ? second : first;
+    assertTrue(second.line().contains(id.equals("a1") ? "Oa2 " : "Oa1 "));
+    early.write("VA 1 Oa2\r\n2\r\n");
+    late.write("VA 1 Oa1\r\n1\r\n");
+    assertEquals("VA 1 Oa1", client.line());
+    assertEquals("1", client.line());
+    assertEquals("MN", client.line());
+    assertEquals("VA 1 Oa2", client.line());
+    assertEquals("2", client.line());
+  }
+
+  @Test
+  void usesAConnectionAgain() throws Exception {
+    Peer client = rig.client();
+    client.write(NodeRig.get("a1", 2000));
+    Peer cache = rig.acceptCache();
+    for (int i = 1; i < 4; i++) {
+      assertTrue(cache.line().contains("Oa" + i + " "));
+      cache.write("VA 1 Oa" + i + "\r\nx\r\n");
+      assertEquals("VA 1 Oa" + i, client.line());
+      assertEquals("x", client.line());
+      client.write(NodeRig.get("a" + (i + 1), 2000));
+    }
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "read, SERVER_ERROR busy, SERVER_ERROR busy",
+    "put, SERVER_ERROR busy, SERVER_ERROR busy",
+    "read, SERVER_ERROR failed, SERVER_ERROR busy",
+    "put, SERVER_ERROR failed, SERVER_ERROR failed",
+    "put, SERVER_ERROR out of memory, SERVER_ERROR failed",
+    "put, HD Oother c1, SERVER_ERROR failed",
+    "put, nonsense, SERVER_ERROR failed",
+    "put, VA -1 Oa1, SERVER_ERROR failed",
+    "put, HD c1, SERVER_ERROR failed",
+    "read, VA 1 Oother, SERVER_ERROR busy",
+  })
+  void refusesOnlyWhatProvablyHasNotRun(String service, String reply, String answer)
+      throws Exception {
+    Peer client = rig.client();
+    client.write(service.equals("put") ? NodeRig.put("a1", 2000, "v") : NodeRig.get("a1", 2000));
+    Peer cache = rig.acceptCache();
+    cache.line();
+    cache.write(reply + "\r\n");
+    assertEquals(answer, client.line());
+  }
+
+  @Test
+  void endsAConnectionWhoseRepliesDoNotMatch() throws Exception {
+    Peer client = rig.client();
+    client.write(NodeRig.get("a1", 2000));
+    Peer cache = rig.acceptCache();
+    cache.line();
+    cache.write("VA 1 Oa2\r\nx\r\n");
+    assertTrue(cache.ended());
+    assertEquals("SERVER_ERROR busy", client.line());
+  }
+
+  @Test
+  void refusesAWriteThatFoundNoServer() throws Exception {
+    rig.cache.close();
+    Peer client = rig.client();
+    client.write(NodeRig.put("a1", 2000, "v"));
+    assertEquals("SERVER_ERROR busy", client.line());
+  }
+
+  @Test
+  void failsAWriteWhoseConnectionBreaksAfterItsLastByte() throws Exception {
+    Peer client = rig.client();
+    client.write(NodeRig.put("a1", 2000, "v"));
+    Peer cache = rig.acceptCache();
+    cache.line();
+    cache.line();
+    cache.reset();
+    assertEquals("SERVER_ERROR failed", client.line());
+  }
+
+  @Test
+  void refusesAWriteWhoseConnectionBreaksBeforeItsLastByte() throws Exception {
+    Peer client = rig.client();
+    // More than the buffers of a connection whose other end reads nothing can hold.
+    client.write(NodeRig.put("a1", 20_000, "v".repeat(4 << 20)));
+    Peer cache = rig.acceptCache();
+    cache.line();
+    cache.reset();
+    assertEquals("SERVER_ERROR busy", client.line());
+  }
+
+  @Test
+  void stopsWaitingInTimeAndGivesTheAttemptUp() throws Exception {
+    Peer client = rig.client();
+    client.write(NodeRig.put("a1", 200, "v") + NodeRig.get("a2", 200));
+    Peer cache = rig.acceptCache();
+    Peer other = rig.acceptCache();
+    assertEquals("SERVER_ERROR failed", client.line());
+    assertEquals("SERVER_ERROR busy", client.line());
+    cache.line();
+    other.line();
+    while (cache.line() != null) {
+      // The write's value.
+    }
+    while (other.line() != null) {
+      // Likewise.
+    }
+    client.write("mn\r\n");
+    assertEquals("MN", client.line());
+  }
+
+  @Test
+  void callsAnAttemptOffWhenItsClientLeaves() throws Exception {
+    Peer client = rig.client();
+    client.write(NodeRig.get("a1", 60_000));
+    Peer cache = rig.acceptCache();
+    cache.line();
+    client.close();
+    assertTrue(cache.ended());
+  }
+
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = ';',
+      value = {
+        "nonsense ; ERROR",
+        "mg ; CLIENT_ERROR bad key",
+        "mg key v Pc=read,d=5 ; CLIENT_ERROR bad or missing id",
+        "mg key v O Pc=read,d=5 ; CLIENT_ERROR bad or missing id",
+        "mg key v Oa1 ; CLIENT_ERROR bad or missing class",
+        "mg key v Oa1 Pd=5 ; CLIENT_ERROR bad or missing class",
+        "mg key v Oa1 Pc=read ; CLIENT_ERROR bad or missing deadline",
+        "mg key v Oa1 Pc=read,d=-5 ; CLIENT_ERROR bad or missing deadline",
+        "mg key v Oa1 Pc=read,d=soon ; CLIENT_ERROR bad or missing deadline",
+        "mg key v Oa1 Pc=read,d=0 ; CLIENT_ERROR bad or missing deadline",
+      })
+  void turnsBadCommandsDownAndGoesOn(String command, String answer) throws Exception {
+    Peer client = rig.client();
+    client.write(command + "\r\nmn\r\n");
+    assertEquals(answer, client.line());
+    assertEquals("MN", client.line());
+  }
+
+  @Test
+  void skipsTheValueOfABadWrite() throws Exception {
+    Peer client = rig.client();
+    client.write("ms key 4 Pc=put,d=5\r\nmn\r\n\r\nmn\r\n");
+    assertEquals("CLIENT_ERROR bad or missing id", client.line());
+    assertEquals("MN", client.line());
+  }
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "ms key -1 Oa1 Pc=put,d=5\r\n",
+        "ms key 4194305 Oa1 Pc=put,d=5\r\n",
+        "ms key five Oa1 Pc=put,d=5\r\n",
+        "ms key 99999999999 Oa1 Pc=put,d=5\r\n",
+        "ms key 1 Oa1 Pc=put,d=5\r\nvalue\r\n",
+        "mn\n",
+        "\n",
+      })
+  void endsAConnectionWhoseBytesCannotBeToldApart(String bytes) throws Exception {
+    Peer client = rig.client();
+    Peer other = rig.client();
+    client.write(bytes);
+    assertTrue(client.line().startsWith("CLIENT_ERROR "));
+    assertNull(client.line());
+    other.write("mn\r\n");
+    assertEquals("MN", other.line());
+  }
+
+  @Test
+  void endsAConnectionWithAnEndlessLine() throws Exception {
+    Peer client = rig.client();
+    client.write("\0".repeat(MetaLine.MAX_LENGTH));
+    assertEquals("CLIENT_ERROR line too long", client.line());
+    assertNull(client.line());
+  }
+
+  @Test
+  void passesALongValueOnAsItComes() throws Exception {
+    Peer client = rig.client();
+    int half = MetaReply.MAX_GATHERED;
+    client.write(NodeRig.get("a1", 2000));
+    Peer cache = rig.acceptCache();
+    cache.line();
+    cache.write("VA " + 2 * half + " Oa1 h1\r\n" + "x".repeat(half));
+    assertEquals("VA " + 2 * half + " Oa1", client.line());
+    assertEquals("x".repeat(half), text(client.bytes(half)));
+    cache.write("y".repeat(half) + "\r\n");
+    assertEquals("y".repeat(half) + "\r\n", text(client.bytes(half + 2)));
+    client.write("mn\r\n");
+    assertEquals("MN", client.line());
+  }
+
+  @Test
+  void cutsALongValueOffWhenItsServerBreaks() throws Exception {
+    Peer client = rig.client();
+    client.write(NodeRig.get("a1", 2000));
+    Peer cache = rig.acceptCache();
+    cache.line();
+    cache.write("VA 4194304 Oa1\r\nxyz");
+    assertEquals("VA 4194304 Oa1", client.line());
+    assertEquals("xyz", text(client.bytes(3)));
+    cache.reset();
+    assertTrue(client.ended());
+  }
+
+  @Test
+  void aSlowReaderDoesNotMakeItsServerLookSlow() throws Exception {
+    // Two long values whose readers stop: were they in flight to the module, it would see a server
+    // that has answered nothing for over a second, and refuse what comes next.
+    for (String id : List.of("a1", "a2")) {
+      rig.client().write(NodeRig.get(id, 2000));
+      Peer cache = rig.acceptCache();
+      cache.line();
+      cache.write("VA 4194304 O" + id + "\r\nxyz");
+    }
+    Thread.sleep(1100);
+    Peer client = rig.client();
+    client.write(NodeRig.get("a3", 2000));
+    Peer cache = rig.acceptCache();
+    cache.line();
+    cache.write("VA 0 Oa3\r\n\r\n");
+    assertEquals("VA 0 Oa3", client.line());
+  }
+
+  @Test
+  void leavesTheServerWhenTheReaderOfALongValueLeaves() throws Exception {
+    Peer client = rig.client();
+    client.write(NodeRig.get("a1", 2000));
+    Peer cache = rig.acceptCache();
+    cache.line();
+    cache.write("VA 4194304 Oa1\r\nxyz");
+    assertEquals("VA 4194304 Oa1", client.line());
+    client.close();
+    assertTrue(cache.ended());
+  }
+
+  @Test
+  void givesUpALongValueWhoseServerFallsSilent() throws Exception {
+    Peer client = rig.client();
+    client.write(NodeRig.get("a1", 2000));
+    Peer cache = rig.acceptCache();
+    cache.line();
+    cache.write("VA 4194304 Oa1\r\nxyz");
+    assertEquals("VA 4194304 Oa1", client.line());
+    assertEquals("xyz", text(client.bytes(3)));
+    assertTrue(client.ended());
+  }
+
+  @Test
+  void givingUpOneAttemptDoesNotBreakTheOthersOnItsConnection() throws Exception {
+    rig.close();
+    rig = new NodeRig(1);
+    Peer leaving = rig.client();
+    leaving.write(NodeRig.get("a1", 60_000));
+    Peer cache = rig.acceptCache();
+    assertTrue(cache.line().contains("Oa1 "));
+    Peer staying = rig.client();
+    staying.write(NodeRig.get("a2", 60_000));
+    assertTrue(cache.line().contains("Oa2 "));
+    leaving.close();
+    // The next request finds the connection no longer in use: the attempt on it has been given up.
+    Peer later = rig.client();
+    later.write(NodeRig.get("a3", 60_000));
+    assertTrue(rig.acceptCache().line().contains("Oa3 "));
+    cache.write("VA 1 Oa1\r\n1\r\nVA 1 Oa2\r\n2\r\n");
+    assertEquals("VA 1 Oa2", staying.line());
+    assertTrue(cache.ended());
+  }
+
+  @Test
+  void endsEachConnectionOfADrainAfterItsAnswer() throws Exception {
+    Peer idle = rig.client();
+    idle.write("mn\r\n");
+    assertEquals("MN", idle.line());
+    Peer owed = rig.client();
+    owed.write(NodeRig.get("a1", 2000));
+    Peer cache = rig.acceptCache();
+    cache.line();
+    Peer fresh = rig.client();
+    Thread drain = new Thread(rig.node::drain);
+    drain.start();
+    // Clients that connect while the restart is under way are still taken.
+    Peer late = rig.client();
+    late.write("mn\r\n");
+    assertEquals("MN", late.line());
+    assertTrue(idle.ended());
+    // Guards against closing with the answer not flushed, and against cutting off a client that
+    // has connected and not yet written.
+    fresh.write("mn\r\n");
+    assertEquals("MN", fresh.line());
+    assertTrue(fresh.ended());
+    cache.write("VA 5 Oa1\r\nhello\r\n");
+    assertEquals("VA 5 Oa1", owed.line());
+    assertEquals("hello", owed.line());
+    assertTrue(owed.ended());
+    drain.join(Peer.PATIENCE_MILLIS);
+    assertFalse(drain.isAlive());
+  }
+
+  @Test
+  void closesAClientThatStopsHalfway() throws Exception {
+    Peer client = rig.client();
+    client.write("mg ke");
+    assertTrue(client.ended());
+  }
+}
--- /dev/null
+++ b/src/test/java/beamspread/node/TimersTest.java
@@ -0,0 +1,92 @@
+package beamspread.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+class TimersTest {
+  private static final long TICK = 20_000_000;
+
+  /** One event loop that ends with the test. */
+  private static final class Group implements AutoCloseable {
+    private final MultiThreadIoEventLoopGroup threads =
+        new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = threads.next();
+
+    @Override
+    public void close() {
+      threads.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+  }
+
+  @Test
+  void wakesTheLoopOnceATickHoweverManyTimersThereAre() throws Exception {
+    try (Group group = new Group()) {
+      var loop = group.loop;
+      List<Long> early = new ArrayList<>();
+      Set<Long> turns = new HashSet<>();
+      int timers = 1000;
+      CountDownLatch done = new CountDownLatch(timers);
+      long[] turn = {0};
+      loop.submit(
+              () -> {
+                Timers under = new Timers(loop, new Log(), TICK);
+                long began = System.nanoTime();
+                for (int i = 0; i < timers; i++) {
+                  long delay = i * 200_000L;
+                  under.after(
+                      delay,
+                      () -> {
+                        // Tasks that this turn of the loop still runs come before the next one.
+                        if (turns.add(turn[0])) {
+                          loop.execute(() -> turn[0]++);
+                        }
+                        if (System.nanoTime() - began < delay) {
+                          early.add(delay);
+                        }
+                        done.countDown();
+                      });
+                }
+              })
+          .sync();
+      assertTrue(done.await(Peer.PATIENCE_MILLIS, TimeUnit.MILLISECONDS));
+      assertEquals(List.of(), early);
+      // 200 ms hold ten ticks; without ticks each of the 1000 would wake the loop by itself.
+      assertTrue(turns.size() <= 12, turns.size() + " turns");
+    }
+  }
+
+  @Test
+  void runsWhatMustBeByATimeBeforeWhatMustBeAfterIt() throws Exception {
+    try (Group group = new Group()) {
+      var loop = group.loop;
+      List<String> order = new ArrayList<>();
+      CountDownLatch done = new CountDownLatch(1);
+      loop.submit(
+              () -> {
+                Timers timers = new Timers(loop, new Log(), TICK);
+                timers.after(
+                    3 * TICK,
+                    () -> {
+                      order.add("after");
+                      done.countDown();
+                    });
+                timers.by(3 * TICK - 2_000_000, () -> order.add("by"));
+                timers.by(TICK, () -> order.add("cancelled")).cancel();
+              })
+          .sync();
+      assertTrue(done.await(Peer.PATIENCE_MILLIS, TimeUnit.MILLISECONDS));
+      assertEquals(List.of("by", "after"), order);
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/beamspread/policy/PolicySizeTest.java
@@ -0,0 +1,38 @@
+package beamspread.policy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.TreeSet;
+import org.junit.jupiter.api.Test;
+
+/** The decision module stays small enough to port by hand, and the deploy file names all of it. */
+class PolicySizeTest {
+  private static final int LIMIT = 1200;
+
+  @Test
+  void staysWithinItsLimitAndIsNamedWhole() throws IOException {
+    Path folder = Path.of("src/main/java/beamspread/policy");
+    String deploy = Files.readString(Path.of("deploy/balancer.toml"));
+    long lines = 0;
+    TreeSet<String> named = new TreeSet<>();
+    TreeSet<String> present = new TreeSet<>();
+    List<Path> files;
+    try (var list = Files.list(folder)) {
+      files = list.toList();
+    }
+    for (Path file : files) {
+      present.add(file.getFileName().toString());
+      if (deploy.contains("\"" + file.toString().replace('\\', '/') + "\"")) {
+        named.add(file.getFileName().toString());
+      }
+      lines += Files.readAllLines(file).stream().filter(line -> !line.isBlank()).count();
+    }
+    assertEquals(present, named);
+    assertTrue(lines <= LIMIT, lines + " lines");
+  }
+}
--- /dev/null
+++ b/src/test/java/beamspread/policy/Rig.java
@@ -0,0 +1,146 @@
+package beamspread.policy;
+
+import beamspread.model.MembershipUpdate;
+import beamspread.model.Outcome;
+import beamspread.model.Request;
+import beamspread.model.ServerEntry;
+import beamspread.model.Settings;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Builds small worlds for tests: settings, servers, and a recorder of actions. */
+final class Rig {
+  /** One recorded action. */
+  record Act(String what, String id, long number, double value) {}
+
+  /** Writes every action down. */
+  static class Recorder implements Actions {
+    final List<Act> acts = new ArrayList<>();
+
+    @Override
+    public void send(String requestId, long server, double timeout) {
+      acts.add(new Act("send", requestId, server, timeout));
+    }
+
+    @Override
+    public void cancel(String requestId, int attempt) {
+      acts.add(new Act("cancel", requestId, attempt, 0));
+    }
+
+    @Override
+    public void refuse(String requestId, double retryAfter) {
+      acts.add(new Act("refuse", requestId, 0, retryAfter));
+    }
+
+    @Override
+    public void fail(String requestId) {
+      acts.add(new Act("fail", requestId, 0, 0));
+    }
+
+    @Override
+    public void wake(long token, double delay) {
+      acts.add(new Act("wake", "", token, delay));
+    }
+
+    @Override
+    public void subscribe(boolean on) {
+      acts.add(new Act("subscribe", "", on ? 1 : 0, 0));
+    }
+
+    @Override
+    public void readList() {
+      acts.add(new Act("readList", "", 0, 0));
+    }
+
+    @Override
+    public void probe(long server) {
+      acts.add(new Act("probe", "", server, 0));
+    }
+
+    @Override
+    public void closeIdle(long server) {
+      acts.add(new Act("closeIdle", "", server, 0));
+    }
+
+    @Override
+    public void tellPeer(int peer, String message) {
+      acts.add(new Act("tellPeer", message, peer, 0));
+    }
+
+    @Override
+    public void log(String text) {
+      acts.add(new Act("log", text, 0, 0));
+    }
+
+    List<Act> of(String what) {
+      return acts.stream().filter(a -> a.what().equals(what)).toList();
+    }
+  }
+
+  private Rig() {}
+
+  static Settings settings(boolean asks, int maxAttempts, boolean parallel) {
+    return new Settings(
+        "a",
+        List.of("a", "b"),
+        List.of("box"),
+        0,
+        4,
+        asks,
+        Settings.Weights.NONE,
+        new Settings.CacheMode(false, null, 0, 0),
+        new Settings.Limits(maxAttempts, parallel, true, false, false, false, 1, 0.1, 60, 32),
+        new Settings.Contract(0.02, 10, 2, 0.1, 20, 3, 2),
+        new Settings.Prices(0, 0, 0, 0, 0, 0, 0, 0, 0),
+        List.of(
+            service("safe", Settings.Effect.SAFE, Settings.Group.ALL),
+            service("all", Settings.Effect.KEYED, Settings.Group.ALL),
+            service("zone", Settings.Effect.KEYED, Settings.Group.ZONE),
+            service("cell", Settings.Effect.KEYED, Settings.Group.CELL),
+            service("unsafe", Settings.Effect.UNSAFE, Settings.Group.ALL)),
+        List.of(),
+        1,
+        0.005);
+  }
+
+  private static Settings.ServiceClass service(
+      String name, Settings.Effect effect, Settings.Group group) {
+    return new Settings.ServiceClass(name, 0.5, 0, 2, 1, 0.2, effect, group, 1, false);
+  }
+
+  static ServerEntry server(long id) {
+    return server(id, ServerEntry.State.READY, 0);
+  }
+
+  static ServerEntry server(long id, ServerEntry.State state, double startedAt) {
+    return new ServerEntry(id, id % 2 == 0 ? "a" : "b", "box", (int) id % 3, state, 1, startedAt);
+  }
+
+  static MembershipUpdate list(MembershipUpdate.Kind kind, List<ServerEntry> entries) {
+    return new MembershipUpdate(kind, 1, entries);
+  }
+
+  static MembershipUpdate fleet(int size) {
+    List<ServerEntry> entries = new ArrayList<>();
+    for (long id = 1; id <= size; id++) {
+      entries.add(server(id));
+    }
+    return list(MembershipUpdate.Kind.REMEMBERED, entries);
+  }
+
+  static Request request(String id, String key, String type, double budget) {
+    return new Request(id, key, type, null, budget, 0, 0, false, !type.equals("safe"));
+  }
+
+  static Outcome outcome(String id, int attempt, long server, Outcome.Result result) {
+    return new Outcome(
+        id,
+        attempt,
+        server,
+        result,
+        0.05,
+        result == Outcome.Result.OK,
+        result == Outcome.Result.OK ? Outcome.Note.HIT : Outcome.Note.NONE,
+        null);
+  }
+}
--- /dev/null
+++ b/src/test/java/beamspread/policy/RuleChecker.java
@@ -0,0 +1,170 @@
+package beamspread.policy;
+
+import beamspread.model.Outcome;
+import beamspread.model.Request;
+import beamspread.model.ServerEntry;
+import beamspread.model.Settings;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Watches a balancer's actions and notes every breach of the four rules. */
+final class RuleChecker extends Rig.Recorder {
+  /** An attempt as the world knows it. */
+  static final class Attempt {
+    final long server;
+    final double sentAt;
+    boolean out = true;
+    boolean mayHaveRun = true;
+
+    Attempt(long server, double sentAt) {
+      this.server = server;
+      this.sentAt = sentAt;
+    }
+  }
+
+  /** A request as the world knows it. */
+  static final class Tracked {
+    final Request request;
+    final Settings.ServiceClass type;
+    final double deadline;
+    final List<Attempt> attempts = new ArrayList<>();
+    boolean over;
+
+    Tracked(Request request, Settings.ServiceClass type, double deadline) {
+      this.request = request;
+      this.type = type;
+      this.deadline = deadline;
+    }
+  }
+
+  final Settings settings;
+  final Map<String, Tracked> requests = new LinkedHashMap<>();
+  final Map<Long, ServerEntry> servers = new HashMap<>();
+  final List<String> breaches = new ArrayList<>();
+  final Map<Long, List<Double>> coldSends = new HashMap<>();
+  double now;
+
+  /** Sends a second that a warm server takes. */
+  double warmRate = Double.POSITIVE_INFINITY;
+
+  RuleChecker(Settings settings) {
+    this.settings = settings;
+  }
+
+  void arrives(Request request) {
+    Settings.ServiceClass type =
+        settings.services().stream()
+            .filter(s -> s.name().equals(request.serviceClass()))
+            .findFirst()
+            .orElseThrow();
+    requests.put(request.id(), new Tracked(request, type, now + request.budget()));
+  }
+
+  void ends(String id, int attempt, Outcome.Result result) {
+    Attempt a = requests.get(id).attempts.get(attempt);
+    a.out = false;
+    a.mayHaveRun = !result.provesNotRun();
+    if (result == Outcome.Result.OK) {
+      requests.get(id).over = true;
+    }
+  }
+
+  void gone(String id) {
+    requests.get(id).over = true;
+  }
+
+  /** Notes requests that had no answer in time. */
+  void checkDeadlines() {
+    for (Tracked t : requests.values()) {
+      if (!t.over && now > t.deadline + settings.contract().answerGrace()) {
+        breaches.add("rule 1: no answer for " + t.request.id());
+        t.over = true;
+      }
+    }
+  }
+
+  @Override
+  public void send(String requestId, long server, double timeout) {
+    super.send(requestId, server, timeout);
+    Tracked t = requests.get(requestId);
+    ServerEntry to = servers.get(server);
+    if (t.over) {
+      breaches.add("rule 1: sent after its end " + requestId);
+    }
+    if (to == null || to.state() != ServerEntry.State.READY) {
+      breaches.add("rule 3: sent to a server that is not ready");
+    }
+    if (t.attempts.size() >= settings.limits().maxAttempts()) {
+      breaches.add("rule 2: too many attempts");
+    }
+    Attempt first = null;
+    for (Attempt a : t.attempts) {
+      if (a.out && !settings.limits().parallelAttempts()) {
+        breaches.add("rule 2: two attempts out together");
+      }
+      if (first == null && (a.out || a.mayHaveRun)) {
+        first = a;
+      }
+    }
+    if (first != null && to != null) {
+      if (t.type.effect() == Settings.Effect.UNSAFE) {
+        breaches.add("rule 2: unsafe request sent again");
+      } else if (t.type.effect() == Settings.Effect.KEYED) {
+        ServerEntry was = servers.get(first.server);
+        boolean same =
+            switch (t.type.group()) {
+              case ALL -> true;
+              case ZONE -> was != null && was.zone().equals(to.zone());
+              case CELL -> was != null && was.cell() == to.cell();
+            };
+        if (!same || now > first.sentAt + t.type.repeatWindow()) {
+          breaches.add("rule 2: keyed request sent where or when repeats are not dropped");
+        }
+      }
+    }
+    t.attempts.add(new Attempt(server, now));
+    double warmWithin = settings.contract().warmWithin();
+    if (to != null && to.startedAt() > 0 && now - to.startedAt() < warmWithin) {
+      List<Double> sends = coldSends.computeIfAbsent(server, s -> new ArrayList<>());
+      sends.add(now);
+      double window = settings.contract().overloadFor();
+      double from = settings.contract().coldFrom();
+      double warmth = from + (1 - from) * (now - to.startedAt()) / warmWithin;
+      long recent = sends.stream().filter(at -> at > now - window).count();
+      if (recent > settings.contract().overloadFactor() * warmth * warmRate * window + 2) {
+        breaches.add("rule 4: cold server pushed over");
+      }
+    }
+  }
+
+  @Override
+  public void refuse(String requestId, double retryAfter) {
+    super.refuse(requestId, retryAfter);
+    Tracked t = answered(requestId);
+    boolean mayHaveRun = t.attempts.stream().anyMatch(a -> a.out || a.mayHaveRun);
+    boolean harmless =
+        t.type.effect() == Settings.Effect.SAFE
+            || (t.type.effect() == Settings.Effect.KEYED && t.type.group() == Settings.Group.ALL);
+    if (mayHaveRun && !harmless) {
+      breaches.add("rule 2: refused what may have run");
+    }
+  }
+
+  @Override
+  public void fail(String requestId) {
+    super.fail(requestId);
+    answered(requestId);
+  }
+
+  private Tracked answered(String requestId) {
+    Tracked t = requests.get(requestId);
+    if (t.over) {
+      breaches.add("rule 1: answered twice " + requestId);
+    }
+    t.over = true;
+    return t;
+  }
+}
--- /dev/null
+++ b/src/test/java/beamspread/policy/RulesTest.java
@@ -0,0 +1,223 @@
+package beamspread.policy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import beamspread.model.MembershipUpdate;
+import beamspread.model.Outcome;
+import beamspread.model.ServerEntry;
+import beamspread.model.Settings;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.TreeMap;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** The four rules under seeded events in odd but legal orders. */
+class RulesTest {
+  private static final String[] TYPES = {"safe", "all", "zone", "cell", "unsafe"};
+
+  private static void membership(
+      RuleChecker world, Balancer balancer, MembershipUpdate.Kind kind, List<ServerEntry> lines) {
+    for (ServerEntry line : lines) {
+      world.servers.put(line.id(), line);
+    }
+    balancer.membership(world.now, Rig.list(kind, lines));
+  }
+
+  private static String play(long seed, boolean parallel, List<String> breaches) {
+    Random random = new Random(seed);
+    Settings settings = Rig.settings(random.nextBoolean(), 2 + random.nextInt(4), parallel);
+    RuleChecker world = new RuleChecker(settings);
+    world.now = 100;
+    Balancer balancer = new Balancer(settings, seed, world);
+    List<ServerEntry> first = new ArrayList<>();
+    for (long id = 1; id <= random.nextInt(8); id++) {
+      first.add(Rig.server(id));
+    }
+    membership(world, balancer, MembershipUpdate.Kind.REMEMBERED, first);
+    TreeMap<Double, List<Long>> timers = new TreeMap<>();
+    int seen = 0;
+    for (int step = 0; step < 4000; step++) {
+      world.now += random.nextInt(3) * 0.005;
+      while (!timers.isEmpty() && timers.firstKey() <= world.now) {
+        for (long token : timers.pollFirstEntry().getValue()) {
+          balancer.timer(world.now, token);
+        }
+      }
+      int what = step > 3000 ? 9 : random.nextInt(10);
+      if (what < 4) {
+        String type = TYPES[random.nextInt(TYPES.length)];
+        String key = random.nextInt(9) == 0 ? null : "k" + random.nextInt(40);
+        var request = Rig.request("r" + step, key, type, 0.05 + random.nextDouble());
+        world.arrives(request);
+        balancer.request(world.now, request);
+      } else if (what == 4 && random.nextInt(8) == 0) {
+        long id = 1 + random.nextInt(12);
+        ServerEntry.State state = ServerEntry.State.values()[random.nextInt(3)];
+        double started = random.nextInt(3) == 0 ? world.now - random.nextDouble() : 0;
+        membership(
+            world,
+            balancer,
+            MembershipUpdate.Kind.CHANGES,
+            List.of(Rig.server(id, state, started)));
+      } else if (what == 5 && random.nextInt(20) == 0) {
+        balancer.membership(world.now, Rig.list(MembershipUpdate.Kind.FAILED, List.of()));
+      } else {
+        step(world, balancer, random);
+      }
+      for (; seen < world.acts.size(); seen++) {
+        Rig.Act act = world.acts.get(seen);
+        if (act.what().equals("wake")) {
+          timers
+              .computeIfAbsent(world.now + Math.max(1e-6, act.value()), t -> new ArrayList<>())
+              .add(act.number());
+        }
+      }
+      world.checkDeadlines();
+    }
+    breaches.addAll(world.breaches);
+    return world.acts.toString();
+  }
+
+  /** Ends an attempt, or lets a client go. */
+  private static void step(RuleChecker world, Balancer balancer, Random random) {
+    for (RuleChecker.Tracked t : new ArrayList<>(world.requests.values())) {
+      for (int i = 0; i < t.attempts.size(); i++) {
+        RuleChecker.Attempt a = t.attempts.get(i);
+        boolean due = world.now >= t.deadline;
+        if (a.out && (due || random.nextInt(6) == 0)) {
+          var results = Outcome.Result.values();
+          var result = due ? Outcome.Result.TIMEOUT : results[random.nextInt(results.length - 1)];
+          boolean over = t.over;
+          world.ends(t.request.id(), i, result);
+          balancer.outcome(
+              world.now,
+              new Outcome(
+                  t.request.id(),
+                  i,
+                  a.server,
+                  result,
+                  world.now - a.sentAt,
+                  over || result == Outcome.Result.OK,
+                  random.nextBoolean() ? Outcome.Note.HIT : Outcome.Note.MISS,
+                  null));
+        }
+      }
+      if (!t.over && random.nextInt(300) == 0) {
+        world.gone(t.request.id());
+        balancer.clientGone(world.now, t.request.id());
+      }
+    }
+    world.requests.values().removeIf(t -> t.over && t.attempts.stream().noneMatch(a -> a.out));
+  }
+
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12})
+  void areKeptUnderRandomEvents(long seed) {
+    List<String> breaches = new ArrayList<>();
+    play(seed, seed % 2 == 0, breaches);
+    assertEquals(List.of(), breaches);
+  }
+
+  @Test
+  void sameEventsGiveTheSameActions() {
+    assertEquals(play(5, true, new ArrayList<>()), play(5, true, new ArrayList<>()));
+  }
+
+  @Test
+  void coldServerGetsNoMoreThanItsBudget() {
+    Settings settings = Rig.settings(false, 4, true);
+    RuleChecker world = new RuleChecker(settings);
+    Balancer balancer = new Balancer(settings, 1, world);
+    world.now = 100;
+    List<ServerEntry> fleet = new ArrayList<>();
+    for (long id = 1; id <= 8; id++) {
+      fleet.add(Rig.server(id));
+    }
+    membership(world, balancer, MembershipUpdate.Kind.REMEMBERED, fleet);
+    Random random = new Random(4);
+    world.warmRate = 200.0 / 8;
+    int coldSends = 0;
+    for (int i = 0; i < 6000; i++) {
+      world.now += 0.005;
+      if (i == 2000) {
+        membership(
+            world,
+            balancer,
+            MembershipUpdate.Kind.CHANGES,
+            List.of(Rig.server(3, ServerEntry.State.READY, world.now)));
+      }
+      var request = Rig.request("r" + i, "k" + random.nextInt(500), "safe", 1);
+      world.arrives(request);
+      balancer.request(world.now, request);
+      for (RuleChecker.Tracked t : new ArrayList<>(world.requests.values())) {
+        for (int a = 0; a < t.attempts.size(); a++) {
+          if (t.attempts.get(a).out) {
+            long server = t.attempts.get(a).server;
+            coldSends += i > 2000 && i < 4000 && server == 3 ? 1 : 0;
+            world.ends(t.request.id(), a, Outcome.Result.OK);
+            balancer.outcome(world.now, Rig.outcome(t.request.id(), a, server, Outcome.Result.OK));
+          }
+        }
+      }
+      world.requests.values().removeIf(t -> t.over);
+    }
+    assertEquals(List.of(), world.breaches);
+    assertTrue(coldSends > 20, "a cold server is warmed by some of its keys: " + coldSends);
+  }
+
+  private static RuleChecker planted() {
+    RuleChecker world = new RuleChecker(Rig.settings(false, 3, false));
+    world.now = 100;
+    world.servers.put(1L, Rig.server(1));
+    world.servers.put(2L, Rig.server(2, ServerEntry.State.DRAINING, 0));
+    world.servers.put(3L, Rig.server(3, ServerEntry.State.READY, 99.9));
+    return world;
+  }
+
+  @Test
+  void checkerCatchesALostRequestAndASecondAnswer() {
+    RuleChecker world = planted();
+    world.arrives(Rig.request("x", "k", "safe", 1));
+    world.now += 2;
+    world.checkDeadlines();
+    world.fail("x");
+    assertEquals(2, world.breaches.size());
+    assertTrue(world.breaches.stream().allMatch(b -> b.startsWith("rule 1")));
+  }
+
+  @Test
+  void checkerCatchesADoubledEffect() {
+    RuleChecker world = planted();
+    world.arrives(Rig.request("x", "k", "unsafe", 1));
+    world.send("x", 1, 0);
+    world.ends("x", 0, Outcome.Result.TIMEOUT);
+    world.send("x", 1, 0);
+    world.refuse("x", 0);
+    assertEquals(
+        List.of("rule 2: unsafe request sent again", "rule 2: refused what may have run"),
+        world.breaches);
+  }
+
+  @Test
+  void checkerCatchesASendToADrainingServer() {
+    RuleChecker world = planted();
+    world.arrives(Rig.request("x", "k", "safe", 1));
+    world.send("x", 2, 0);
+    assertEquals(List.of("rule 3: sent to a server that is not ready"), world.breaches);
+  }
+
+  @Test
+  void checkerCatchesAColdServerPushedOver() {
+    RuleChecker world = planted();
+    world.warmRate = 10;
+    for (int i = 0; i < 20; i++) {
+      world.arrives(Rig.request("x" + i, "k", "safe", 1));
+      world.send("x" + i, 3, 0);
+    }
+    assertTrue(world.breaches.contains("rule 4: cold server pushed over"));
+  }
+}
--- /dev/null
+++ b/src/test/java/beamspread/sim/SimHostTest.java
@@ -0,0 +1,116 @@
+package beamspread.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class SimHostTest {
+  private static final String LAUNCH =
+      "{\"type\":\"LAUNCH\",\"i\":3,\"nonce64\":17,\"conf\":{\"discovery\":\"%s\",\"new\":1,"
+          + "\"caps\":{\"attempts-cap\":3,\"cancel\":true},\"services\":[{\"name\":\"read\","
+          + "\"effect\":\"retryable\",\"slo\":0.3,\"give-up\":1}]}}";
+  private static final String LIST =
+      "{\"type\":\"SYNC\",\"i\":3,\"form\":\"cached\",\"rev\":1,\"lines\":["
+          + "{\"server\":4000000001,\"zone\":\"z\",\"machine\":\"m\",\"health\":\"ready\"}]}";
+  private static final String REQUEST =
+      "{\"type\":\"REQUEST\",\"i\":3,\"handle\":\"abc\",\"target-key\":\"k:1\","
+          + "\"class\":\"read\",\"budget\":0.5}";
+
+  private static String batch(int seq, double time, String... events) {
+    return "{\"type\":\"BATCH\",\"time\":"
+        + time
+        + ",\"seq\":"
+        + seq
+        + "}\n"
+        + String.join("\n", events)
+        + (events.length > 0 ? "\n" : "")
+        + "{\"type\":\"OVER_TO_YOU\"}\n";
+  }
+
+  private static List<String> run(String input) throws Exception {
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    new SimHost(new ByteArrayInputStream(input.getBytes(StandardCharsets.UTF_8)), out).run();
+    return out.toString(StandardCharsets.UTF_8).lines().toList();
+  }
+
+  private static String error(String input) {
+    return assertThrows(WireException.class, () -> run(input)).getMessage();
+  }
+
+  @Test
+  void answersAnEmptyBatch() throws Exception {
+    assertEquals(List.of("{\"type\":\"DONE\",\"seq\":1}"), run(batch(1, 8.4)));
+  }
+
+  @Test
+  void sendsARequestToTheOnlyServer() throws Exception {
+    List<String> lines =
+        run(batch(1, 8.4, LAUNCH.formatted("push"), LIST) + batch(2, 8.5, REQUEST));
+    assertEquals("{\"type\":\"DONE\",\"seq\":1}", lines.get(0));
+    assertTrue(
+        lines.contains("{\"type\":\"PASS_ON\",\"i\":3,\"handle\":\"abc\",\"server\":4000000001}"));
+    assertEquals("{\"type\":\"DONE\",\"seq\":2}", lines.get(lines.size() - 1));
+  }
+
+  @Test
+  void refusesWhenThereIsNoServer() throws Exception {
+    String empty = "{\"type\":\"SYNC\",\"i\":3,\"form\":\"cached\",\"rev\":1,\"lines\":[]}";
+    List<String> lines =
+        run(batch(1, 8.4, LAUNCH.formatted("push"), empty) + batch(2, 8.5, REQUEST));
+    assertTrue(lines.contains("{\"type\":\"BUSY\",\"i\":3,\"handle\":\"abc\"}"));
+  }
+
+  @Test
+  void subscribesWhereTheListMustBeAsked() throws Exception {
+    List<String> lines =
+        run(
+            batch(1, 8.4, LAUNCH.formatted("ask"), LIST)
+                + batch(2, 9.4, "{\"type\":\"DEADLINE_HIT\",\"i\":3,\"key-back\":0}"));
+    assertTrue(lines.contains("{\"type\":\"SUBSCRIBE\",\"i\":3,\"active\":true}"));
+  }
+
+  @Test
+  void ignoresEventsOnWhatItDoesNotKnow() throws Exception {
+    List<String> lines =
+        run(
+            batch(1, 8.4, LAUNCH.formatted("push"), LIST)
+                + batch(
+                    2,
+                    8.5,
+                    "{\"type\":\"FINISHED\",\"i\":3,\"handle\":\"none\",\"trial\":0,"
+                        + "\"server\":7,\"ending\":\"completed\",\"pressure\":{\"odd\":1}}",
+                    "{\"type\":\"DROPPED\",\"i\":3,\"handle\":\"none\"}",
+                    "{\"type\":\"DEADLINE_HIT\",\"i\":3,\"key-back\":99}",
+                    "{\"type\":\"FLOWING\",\"i\":3,\"handle\":\"none\",\"server\":7}",
+                    "{\"type\":\"HEALTH_RESULT\",\"i\":3,\"server\":7,\"ending\":\"completed\"}",
+                    "{\"type\":\"WHISPER\",\"i\":3,\"by\":1,\"raw\":\"hi\"}"));
+    assertEquals("{\"type\":\"DONE\",\"seq\":2}", lines.get(lines.size() - 1));
+    assertEquals(2, lines.size());
+  }
+
+  @Test
+  void namesTheLineOfBadInput() {
+    assertEquals("line 1: not JSON", error("{nonsense\n"));
+    assertEquals("line 1: REQUEST message outside a batch", error(REQUEST + "\n"));
+    assertEquals("line 3: BATCH message out of order", error(batch(2, 1) + batch(1, 2)));
+    assertEquals("line 3: BATCH message out of order", error(batch(2, 2) + batch(3, 1)));
+    assertEquals(
+        "line 1: BATCH message without field 'seq'", error("{\"type\":\"BATCH\",\"time\":1}\n"));
+    assertEquals("line 2: REQUEST message for unknown instance 3", error(batch(1, 1, REQUEST)));
+    assertEquals(
+        "line 4: REQUEST message without field 'handle'",
+        error(
+            batch(
+                1,
+                1,
+                LAUNCH.formatted("push"),
+                LIST,
+                "{\"type\":\"REQUEST\",\"i\":3,\"budget\":1}")));
+  }
+}
