Bound clients' connections and close those of no use

Node.accept counted clients alone against all descriptors but 48, so servers' connections came on top; accept and connect then failed with EMFILE and nothing was served from 15 s on. Ruled out: memory (46 of 128 MB), CPU (4 s in 60), decisions (97 to 99% in time until then).

Change: clients get half of the descriptors; what is due on each connection is tracked (unused, midway, idle, owed, closing), each but the owed has a time limit, and the least useful gives way to a new one. A shared budget bounds servers' connections past the first to each. Connections that came up for a server that had left or moved, and those of the warm-up, were never closed.

The new tests fail without the change (silent and idle clients are kept for good; with 128 of 128 descriptors no new client is served).

--- a/src/main/java/beamspread/node/ClientConnections.java
+++ b/src/main/java/beamspread/node/ClientConnections.java
@@ -1,81 +1,146 @@
 package beamspread.node;
 
 import io.netty.channel.EventLoop;
+import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.Iterator;
-import java.util.LinkedHashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
-/** All connections of clients: which are idle, and which must give way. */
+/**
+ * All connections of clients, by what is due on each: how many there may be, which are closed in
+ * time, and which give way to new ones.
+ *
+ * <p>Guards against every kind of client that takes a connection and makes no use of it: silent
+ * ones, halves of commands, connections kept for good. It also bounds what a flood of connections
+ * costs. It could do harm where clients connect long before they ask, which the protocol's clients
+ * do not.
+ */
 final class ClientConnections {
-  private final LinkedHashSet<ClientHandler> open = new LinkedHashSet<>();
+  /** What is due on a connection. */
+  enum Standing {
+    /** Its first command has not begun. */
+    UNUSED,
+    /** A command has begun, and no answer is owed. */
+    MIDWAY,
+    /** Nothing, between two requests. */
+    IDLE,
+    /** An answer is owed. */
+    OWED,
+    /** Nothing more is taken from it; the last answers are on their way. */
+    CLOSING
+  }
+
+  /** How long a client may take for its first command, or over any command: it is owed 2 s. */
+  private static final long MAX_COMMAND_NANOS = 2_100_000_000L;
+
+  /** How long a connection is kept between requests; a client may be made to open another. */
+  private static final long MAX_IDLE_NANOS = 4_000_000_000L;
 
-  /** Those between requests, longest idle first. */
-  private final LinkedHashSet<ClientHandler> idle = new LinkedHashSet<>();
+  /** How long the last answers on a connection may take to go out. */
+  private static final long MAX_CLOSING_NANOS = 1_000_000_000L;
 
+  /** A connection without a whole command gives way to new ones before those in use, from then. */
+  private static final long PROMPT_NANOS = 300_000_000L;
+
+  private final int limit;
+  private final Map<Standing, LinkedHashMap<ClientHandler, Long>> open =
+      new EnumMap<>(Standing.class);
   private boolean draining;
   private Runnable whenEmpty;
 
-  void opened(ClientHandler client) {
-    open.add(client);
-    idle(client);
+  /** At most so many connections at once. */
+  ClientConnections(int limit) {
+    this.limit = limit;
+    for (Standing standing : Standing.values()) {
+      open.put(standing, new LinkedHashMap<>());
+    }
+  }
+
+  /** Makes room for one more connection; false if every other is owed an answer. */
+  boolean admit(long now) {
+    if (size() < limit) {
+      return true;
+    }
+    ClientHandler spared = null;
+    for (Standing standing : List.of(Standing.MIDWAY, Standing.UNUSED, Standing.IDLE)) {
+      ClientHandler longest = longest(standing, now - PROMPT_NANOS);
+      spared = spared == null ? longest : spared;
+    }
+    spared = spared == null ? longest(Standing.UNUSED, now) : spared;
+    if (spared != null) {
+      spared.close();
+    }
+    return spared != null;
   }
 
-  void busy(ClientHandler client) {
-    idle.remove(client);
+  /** The connection that has stood so for longest, null if none has since the given time. */
+  private ClientHandler longest(Standing standing, long before) {
+    var first = open.get(standing).entrySet().iterator();
+    if (first.hasNext()) {
+      var entry = first.next();
+      return entry.getValue() - before <= 0 ? entry.getKey() : null;
+    }
+    return null;
   }
 
-  void idle(ClientHandler client) {
-    if (!client.isIdle()) {
-      return;
+  /** A connection is open, or what is due on it has changed. */
+  void moved(ClientHandler client, Standing from, Standing to) {
+    if (from != null) {
+      open.get(from).remove(client);
     }
-    if (!draining) {
-      idle.add(client);
-    } else if (client.isUsed()) {
-      // Guards against cutting off a client that has just connected and is about to write its first
-      // command: that connection is not between two requests.
+    open.get(to).put(client, System.nanoTime());
+    if (draining && to == Standing.IDLE) {
       client.close();
     }
   }
 
-  void closed(ClientHandler client) {
-    open.remove(client);
-    idle.remove(client);
-    if (draining && open.isEmpty()) {
+  void closed(ClientHandler client, Standing from) {
+    open.get(from).remove(client);
+    if (draining && size() == 0) {
       whenEmpty.run();
     }
   }
 
   int size() {
-    return open.size();
+    int size = 0;
+    for (var clients : open.values()) {
+      size += clients.size();
+    }
+    return size;
   }
 
-  /** Closes the connection that has been idle longest; false if none is idle. */
-  boolean closeIdlest() {
-    Iterator<ClientHandler> first = idle.iterator();
-    if (!first.hasNext()) {
-      return false;
+  /** Closes what has been of no use for too long. */
+  void sweep(long now) {
+    expired(Standing.UNUSED, now - MAX_COMMAND_NANOS).forEach(ClientHandler::close);
+    expired(Standing.MIDWAY, now - MAX_COMMAND_NANOS).forEach(ClientHandler::close);
+    expired(Standing.IDLE, now - MAX_IDLE_NANOS).forEach(ClientHandler::close);
+    expired(Standing.CLOSING, now - MAX_CLOSING_NANOS).forEach(ClientHandler::abort);
+    for (ClientHandler client : expired(Standing.OWED, now)) {
+      client.abortIfStalled(now);
     }
-    ClientHandler client = first.next();
-    first.remove();
-    client.close();
-    return true;
   }
 
-  void closeStuck(long now) {
-    for (ClientHandler client : List.copyOf(open)) {
-      client.closeIfStuck(now);
+  private List<ClientHandler> expired(Standing standing, long before) {
+    List<ClientHandler> expired = new ArrayList<>();
+    for (var entry : open.get(standing).entrySet()) {
+      if (entry.getValue() - before > 0) {
+        break;
+      }
+      expired.add(entry.getKey());
     }
+    return expired;
   }
 
   /** From now on closes each connection as it falls idle; runs the step when none is left. */
   void drain(EventLoop loop, Runnable then) {
     draining = true;
     whenEmpty = then;
-    if (open.isEmpty()) {
+    if (size() == 0) {
       then.run();
     } else {
-      idle.removeIf(client -> !client.isUsed());
       closeNext(loop);
     }
   }
@@ -86,7 +151,9 @@
    * reads what has come.
    */
   private void closeNext(EventLoop loop) {
-    if (closeIdlest()) {
+    Iterator<ClientHandler> first = open.get(Standing.IDLE).keySet().iterator();
+    if (first.hasNext()) {
+      first.next().close();
       loop.schedule(() -> closeNext(loop), 1, TimeUnit.MILLISECONDS);
     }
   }
--- a/src/main/java/beamspread/node/ClientHandler.java
+++ b/src/main/java/beamspread/node/ClientHandler.java
@@ -18,9 +18,6 @@
    */
   private static final int MAX_OWED = 64;
 
-  /** How long a command may take to come; the protocol grants a client 2 s. */
-  private static final long MAX_COMMAND_NANOS = 5_000_000_000L;
-
   /** How long a client may read nothing of what waits for it. */
   private static final long MAX_STALL_NANOS = 10_000_000_000L;
 
@@ -29,7 +26,7 @@
   private final MetaCommand.Decoder decoder;
   private final ArrayDeque<Slot> slots = new ArrayDeque<>();
   private Channel channel;
-  private long midwaySince;
+  private ClientConnections.Standing standing;
   private long stalledSince;
   private boolean used;
   private boolean closing;
@@ -91,7 +88,7 @@
           source.pause();
         }
         channel.flush();
-        fallIdle();
+        stand();
       } else {
         waiting =
             waiting == null
@@ -140,9 +137,20 @@
     steer();
   }
 
-  private void fallIdle() {
-    if (slots.isEmpty() && !closing) {
-      connections.idle(this);
+  /** Tells what is due on this connection now. */
+  private void stand() {
+    ClientConnections.Standing now =
+        closing
+            ? ClientConnections.Standing.CLOSING
+            : !slots.isEmpty()
+                ? ClientConnections.Standing.OWED
+                : decoder.midway()
+                    ? ClientConnections.Standing.MIDWAY
+                    : used ? ClientConnections.Standing.IDLE : ClientConnections.Standing.UNUSED;
+    if (now != standing && channel.isActive()) {
+      ClientConnections.Standing before = standing;
+      standing = now;
+      connections.moved(this, before, now);
     }
   }
 
@@ -158,7 +166,7 @@
 
   @Override
   public void channelActive(ChannelHandlerContext ctx) {
-    connections.opened(this);
+    stand();
   }
 
   @Override
@@ -168,10 +176,10 @@
       command.release();
       return;
     }
-    connections.busy(this);
     used = true;
     Slot slot = new Slot();
     slots.add(slot);
+    stand();
     if (command.reply == null) {
       slot.request = dispatcher.request(command, slot);
     } else {
@@ -185,12 +193,7 @@
 
   @Override
   public void channelReadComplete(ChannelHandlerContext ctx) {
-    midwaySince = !decoder.midway() ? 0 : midwaySince == 0 ? System.nanoTime() : midwaySince;
-    if (midwaySince != 0) {
-      connections.busy(this);
-    } else {
-      fallIdle();
-    }
+    stand();
   }
 
   @Override
@@ -205,7 +208,9 @@
 
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
-    connections.closed(this);
+    if (standing != null) {
+      connections.closed(this, standing);
+    }
     for (Slot slot = slots.poll(); slot != null; slot = slots.poll()) {
       if (slot.waiting != null) {
         slot.waiting.release();
@@ -227,33 +232,27 @@
     ctx.close();
   }
 
-  /** Whether nothing is owed and no command has begun. */
-  boolean isIdle() {
-    return slots.isEmpty() && !decoder.midway();
-  }
-
-  /** Whether a command has ever come. */
-  boolean isUsed() {
-    return used;
-  }
-
   /**
    * Closes the connection once all that was written has gone out. Guards against losing the answer
    * after which a connection falls idle: a plain close drops what is not flushed.
    */
   void close() {
-    closing = true;
-    channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+    if (!closing) {
+      closing = true;
+      stand();
+      channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+    }
   }
 
-  /**
-   * Closes the connection of a client that stopped halfway through a command, or that has long read
-   * nothing: either would hold memory and a descriptor for good.
-   */
-  void closeIfStuck(long now) {
-    if ((midwaySince != 0 && now - midwaySince > MAX_COMMAND_NANOS)
-        || (stalledSince != 0 && now - stalledSince > MAX_STALL_NANOS)) {
-      channel.close();
+  /** Closes the connection whatever has not gone out. */
+  void abort() {
+    channel.close();
+  }
+
+  /** Closes the connection of a client that has long read nothing of what waits for it. */
+  void abortIfStalled(long now) {
+    if (stalledSince != 0 && now - stalledSince > MAX_STALL_NANOS) {
+      abort();
     }
   }
 }
--- a/src/main/java/beamspread/node/Node.java
+++ b/src/main/java/beamspread/node/Node.java
@@ -23,17 +23,27 @@
   /** New connections go on coming for so long after a planned restart has begun. */
   private static final long ACCEPT_MILLIS = 500;
 
+  /**
+   * The part of all descriptors that clients' connections may take; the protocol's own clients hold
+   * a third at most. What is left is for cache servers, and {@link #OWN_DESCRIPTORS}. Guards
+   * against a node that has no descriptor left: it can neither accept nor reach a server.
+   */
+  private static final double CLIENT_SHARE = 0.5;
+
   /** Descriptors kept for files and pipes of the virtual machine, the selector and discovery. */
-  private static final int OWN_DESCRIPTORS = 48;
+  private static final int OWN_DESCRIPTORS = 32;
 
   /** Connections to one server, over all nodes together, that this tier opens of itself. */
   private static final int TIER_CONNECTIONS = 28;
 
+  /** How often connections are looked through for those that have been of no use for too long. */
+  private static final long SWEEP_MILLIS = 250;
+
   private final NodeConfig config;
   private final Log log = new Log();
   private final MultiThreadIoEventLoopGroup group;
   private final EventLoop loop;
-  private final ClientConnections clients = new ClientConnections();
+  private final ClientConnections clients;
   private final ServerPools pools;
   private final Dispatcher dispatcher;
   private final MemoryBudget values;
@@ -50,6 +60,7 @@
     this.config = config;
     group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     loop = group.next();
+    clients = new ClientConnections((int) (config.sockets() * CLIENT_SHARE));
     values = new MemoryBudget((long) config.memoryMb() << 18);
     PooledByteBufAllocator allocator =
         new PooledByteBufAllocator(true, 0, 1, 8192, 6, 64, 16, true);
@@ -73,6 +84,7 @@
     var limits = config.settings().limits();
     return new ServerPool.Limits(
         connections,
+        (int) (config.sockets() * (1 - CLIENT_SHARE)) - OWN_DESCRIPTORS,
         // Where a request may not have two attempts out, one that is given up must be off its
         // connection before the next goes out: nothing may share it.
         limits.parallelAttempts() ? Math.max(1, limits.perConnection()) : 1,
@@ -127,13 +139,14 @@
       throw new IOException(bound.cause().getMessage());
     }
     listener = bound.channel();
-    loop.scheduleAtFixedRate(this::sweep, 1, 1, TimeUnit.SECONDS);
+    loop.scheduleAtFixedRate(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
     return (InetSocketAddress) listener.localAddress();
   }
 
   private void accept(Channel channel) {
-    if (clients.size() + OWN_DESCRIPTORS >= config.sockets()) {
-      clients.closeIdlest();
+    if (!clients.admit(System.nanoTime())) {
+      channel.close();
+      return;
     }
     MetaCommand.Decoder decoder = new MetaCommand.Decoder(values);
     channel.pipeline().addLast(decoder, new ClientHandler(dispatcher, clients, decoder));
@@ -141,7 +154,7 @@
 
   private void sweep() {
     long now = System.nanoTime();
-    clients.closeStuck(now);
+    clients.sweep(now);
     pools.closeStale(now);
   }
 
--- a/src/main/java/beamspread/node/ServerPool.java
+++ b/src/main/java/beamspread/node/ServerPool.java
@@ -18,13 +18,15 @@
    * What bounds the connections to each server.
    *
    * @param connections how many this node opens at most
+   * @param total how many it opens to all servers together, but for the first to each
    * @param depth how many attempts may be under way on one
    * @param idleNanos how long one is kept that is not in use
    */
-  record Limits(int connections, int depth, long idleNanos) {}
+  record Limits(int connections, int total, int depth, long idleNanos) {}
 
   private final Bootstrap bootstrap;
   private final Limits limits;
+  private final ConnectionBudget budget;
   private final Dispatcher dispatcher;
   private final List<ServerConnection> connections = new ArrayList<>();
   private final ArrayDeque<Attempt> waiting = new ArrayDeque<>();
@@ -32,10 +34,17 @@
   private int connecting;
   private int cap;
   private long cappedAt;
-
-  ServerPool(Bootstrap bootstrap, Limits limits, Dispatcher dispatcher, SocketAddress address) {
+  private boolean retired;
+
+  ServerPool(
+      Bootstrap bootstrap,
+      Limits limits,
+      ConnectionBudget budget,
+      Dispatcher dispatcher,
+      SocketAddress address) {
     this.bootstrap = bootstrap;
     this.limits = limits;
+    this.budget = budget;
     this.dispatcher = dispatcher;
     this.address = address;
     this.cap = limits.connections();
@@ -58,6 +67,7 @@
 
   /** The server has left: what is under way may end, and nothing new begins. */
   void retire() {
+    retired = true;
     for (Attempt attempt = waiting.poll(); attempt != null; attempt = waiting.poll()) {
       dispatcher.ended(attempt, Outcome.Result.CONNECT_FAILED);
     }
@@ -81,7 +91,8 @@
       best.write(attempt);
       return;
     }
-    if (live() + connecting < cap()) {
+    int held = live() + connecting;
+    if (held < cap() && (held == 0 || budget.hasRoom())) {
       waiting.add(attempt);
       if (connecting < waiting.size()) {
         connect();
@@ -109,7 +120,9 @@
 
   private void connect() {
     connecting++;
+    budget.take();
     long began = System.nanoTime();
+    SocketAddress at = address;
     ServerConnection connection = new ServerConnection(this, dispatcher);
     ChannelFuture future = connection.open(bootstrap, address);
     future.addListener(
@@ -117,8 +130,15 @@
           connecting--;
           if (done.isSuccess()) {
             connections.add(connection);
-            free(connection);
+            if (retired || !at.equals(address)) {
+              // Guards against a connection that came up after the list had moved its server, or
+              // dropped it: nobody would ever close it.
+              connection.retire();
+            } else {
+              free(connection);
+            }
           } else {
+            budget.release();
             connectFailed(began, done.cause() instanceof ConnectTimeoutException);
           }
         });
@@ -172,6 +192,7 @@
   /** A connection is closed. */
   void closed(ServerConnection connection) {
     connections.remove(connection);
+    budget.release();
     if (live() == 0 && connecting == 0 && !waiting.isEmpty()) {
       connect();
     }
--- a/src/main/java/beamspread/node/ServerPools.java
+++ b/src/main/java/beamspread/node/ServerPools.java
@@ -13,11 +13,13 @@
   private final Map<Long, ServerPool> pools = new HashMap<>();
   private final Bootstrap bootstrap;
   private final ServerPool.Limits limits;
+  private final ConnectionBudget budget;
   private Dispatcher dispatcher;
 
   ServerPools(Bootstrap bootstrap, ServerPool.Limits limits) {
     this.bootstrap = bootstrap;
     this.limits = limits;
+    this.budget = new ConnectionBudget(limits.total());
   }
 
   /** Takes in where the servers are now. */
@@ -33,7 +35,7 @@
       gone.remove(entry.id());
       ServerPool pool =
           pools.computeIfAbsent(
-              entry.id(), id -> new ServerPool(bootstrap, limits, owner, member.address()));
+              entry.id(), id -> new ServerPool(bootstrap, limits, budget, owner, member.address()));
       pool.listed(member.address(), entry.startedAt(), now);
     }
     for (long id : gone) {
--- a/src/main/java/beamspread/node/Warmup.java
+++ b/src/main/java/beamspread/node/Warmup.java
@@ -68,7 +68,7 @@
                 caches));
       }
       loop.submit(() -> dispatcher.list(new MemberList(true, 1, members))).await();
-      ClientConnections clients = new ClientConnections();
+      ClientConnections clients = new ClientConnections(AT_ONCE);
       MemoryBudget values = new MemoryBudget(1 << 20);
       channels.add(
           listen(
@@ -92,6 +92,8 @@
               .await()
               .channel());
       client.done.await(MAX_MILLIS, TimeUnit.MILLISECONDS);
+      // A list without servers ends the connections to them, which would hold descriptors for good.
+      loop.submit(() -> dispatcher.list(new MemberList(true, 2, List.of()))).await();
     } catch (IOException e) {
       log.line("no warm-up: " + e.getMessage());
     } finally {
@@ -168,7 +170,8 @@
             .channel(NioDomainSocketChannel.class)
             .option(ChannelOption.ALLOCATOR, allocator);
     ServerPools pools =
-        new ServerPools(bootstrap, new ServerPool.Limits(2, 2, TimeUnit.MINUTES.toNanos(1)));
+        new ServerPools(
+            bootstrap, new ServerPool.Limits(2, 2 * SERVERS, 2, TimeUnit.MINUTES.toNanos(1)));
     return new Dispatcher(own, loop, pools, log);
   }
 
--- /dev/null
+++ b/src/test/java/beamspread/node/ClientConnectionsTest.java
@@ -0,0 +1,68 @@
+package beamspread.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Which connections of clients a node keeps, over loopback sockets. */
+class ClientConnectionsTest {
+  private static void serveOne(NodeRig rig, Peer client, String id) throws Exception {
+    client.write(NodeRig.get(id, 5000));
+    try (Peer cache = rig.acceptCache()) {
+      assertTrue(cache.line().contains("O" + id + " "));
+      cache.write("VA 1 O" + id + "\r\nx\r\n");
+      assertEquals("VA 1 O" + id, client.line());
+      assertEquals("x", client.line());
+    }
+  }
+
+  @Test
+  void servesANewClientWhereSilentOnesTookEveryPlace() throws Exception {
+    try (NodeRig rig = new NodeRig(1, 128)) {
+      List<Peer> silent = new ArrayList<>();
+      for (int i = 0; i < 128; i++) {
+        silent.add(rig.client());
+      }
+      serveOne(rig, rig.client(), "a1");
+      // More than half of the descriptors are not for clients: the first of them had to give way.
+      for (Peer client : silent.subList(0, 64)) {
+        assertTrue(client.ended());
+      }
+    }
+  }
+
+  @Test
+  void keepsAClientThatIsOwedAnAnswerWhereOthersCrowdIn() throws Exception {
+    try (NodeRig rig = new NodeRig(1, 128)) {
+      Peer owed = rig.client();
+      owed.write(NodeRig.get("a1", 60_000));
+      Peer cache = rig.acceptCache();
+      assertTrue(cache.line().contains("Oa1 "));
+      for (int i = 0; i < 128; i++) {
+        rig.client().write("mg ke");
+      }
+      cache.write("VA 1 Oa1\r\nx\r\n");
+      assertEquals("VA 1 Oa1", owed.line());
+    }
+  }
+
+  @Test
+  void closesAClientThatSaysNothing() throws Exception {
+    try (NodeRig rig = new NodeRig()) {
+      assertTrue(rig.client().ended());
+    }
+  }
+
+  @Test
+  void closesAClientThatAskedOnceAndStays() throws Exception {
+    try (NodeRig rig = new NodeRig()) {
+      Peer client = rig.client();
+      client.write("mn\r\n");
+      assertEquals("MN", client.line());
+      assertTrue(client.ended());
+    }
+  }
+}
--- a/src/test/java/beamspread/node/NodeRig.java
+++ b/src/test/java/beamspread/node/NodeRig.java
@@ -34,7 +34,16 @@
     address = node.start();
   }
 
-  private static ServerSocket listen() throws IOException {
+  /** A node that may hold so many descriptors, and opens so many connections to a server. */
+  NodeRig(int connections, int sockets) throws Exception {
+    node =
+        new Node(
+            load(configText("").replace("\"sockets\":1024", "\"sockets\":" + sockets)),
+            connections);
+    address = node.start();
+  }
+
+  static ServerSocket listen() throws IOException {
     ServerSocket socket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
     socket.setSoTimeout(Peer.PATIENCE_MILLIS);
     return socket;
@@ -56,9 +65,13 @@
   }
 
   NodeConfig config(String settings) throws Exception {
+    return load(configText(settings));
+  }
+
+  private static NodeConfig load(String text) throws Exception {
     Path file = Files.createTempFile("config", ".json");
     try {
-      Files.writeString(file, configText(settings));
+      Files.writeString(file, text);
       return NodeConfig.load(file.toString());
     } finally {
       Files.delete(file);
