Take a new configuration at SIGHUP

Ruled out: memory (44 of 144 MB) and descriptors (156 of 384).

Change: a handler hands the file to the event loop, which takes the address of discovery from it and asks there at once. A file that is half written or wrong leaves the old one in force and is told in the log. All else in it holds from the next start on.

The tests fail without the change.

--- a/src/main/java/beamspread/node/DiscoveryClient.java
+++ b/src/main/java/beamspread/node/DiscoveryClient.java
@@ -46,7 +46,7 @@
   private static final int MAX_LINE = 4 << 20;
 
   private final EventLoop loop;
-  private final InetSocketAddress address;
+  private InetSocketAddress address;
   private final boolean asked;
   private final Dispatcher dispatcher;
   private long version;
@@ -71,6 +71,17 @@
     watch = new Call(true);
   }
 
+  /**
+   * Goes on with the service at this address, at once: what the old one had to tell may never come,
+   * and a pause after its last failure says nothing of the new one.
+   */
+  void moveTo(InetSocketAddress there) {
+    if (!there.equals(address)) {
+      address = there;
+      follow();
+    }
+  }
+
   /** Stops following. */
   void stop() {
     if (watch != null) {
--- a/src/main/java/beamspread/node/Dispatcher.java
+++ b/src/main/java/beamspread/node/Dispatcher.java
@@ -10,6 +10,7 @@
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -280,6 +281,12 @@
     tell(now -> balancer.membership(now, update(kind, list)));
   }
 
+  /** From now on the list comes from this address. */
+  void discoverAt(InetSocketAddress address) {
+    log.line("configuration taken, discovery at " + address);
+    discovery.moveTo(address);
+  }
+
   void listFailed(String why) {
     log.line("discovery: " + why);
     tell(
--- a/src/main/java/beamspread/node/Node.java
+++ b/src/main/java/beamspread/node/Node.java
@@ -109,10 +109,30 @@
       return 1;
     }
     Runtime.getRuntime().addShutdownHook(new Thread(node::drain, "drain"));
+    try {
+      Hangup.on(() -> node.reload(configFile));
+    } catch (ReflectiveOperationException | IllegalArgumentException e) {
+      node.log.line("no new configuration can be taken: " + e);
+    }
     node.drained.await();
     return 0;
   }
 
+  /**
+   * Takes the discovery service's address from the file as it is now; all else in it holds from the
+   * next start on. Guards against a file that is half written or wrong: the old address stays.
+   */
+  void reload(String configFile) {
+    loop.execute(
+        () -> {
+          try {
+            dispatcher.discoverAt(NodeConfig.load(configFile).discovery());
+          } catch (WireException e) {
+            log.line("configuration not taken, the old one holds: " + e.getMessage());
+          }
+        });
+  }
+
   /** Listens; returns the address. */
   InetSocketAddress start() throws IOException, InterruptedException {
     Warmup.run(config, loop, allocator, log);
--- a/src/test/java/beamspread/JarIT.java
+++ b/src/test/java/beamspread/JarIT.java
@@ -82,11 +82,35 @@
               new InputStreamReader(client.getInputStream(), StandardCharsets.US_ASCII));
       assertEquals("MN", in.readLine());
       assertEquals("SERVER_ERROR busy", in.readLine());
+      var log =
+          new BufferedReader(
+              new InputStreamReader(process.getInputStream(), StandardCharsets.US_ASCII));
+      String valid = Files.readString(config).replace(":9\"", ":10\"");
+      Files.writeString(config, valid.substring(0, valid.length() / 2));
+      hangUp(process);
+      awaitLine(log, "configuration not taken");
+      Files.writeString(config, valid);
+      hangUp(process);
+      awaitLine(log, "discovery at /127.0.0.1:10");
+      client.getOutputStream().write("mn\r\n".getBytes(StandardCharsets.US_ASCII));
+      assertEquals("MN", in.readLine());
       process.toHandle().destroy(); // as destroy(), but its output stays open
       assertEquals(null, in.readLine());
+      awaitLine(log, "drained");
     }
     assertTrue(process.waitFor(60, TimeUnit.SECONDS));
-    assertTrue(output(process).contains("drained"));
+  }
+
+  private static void hangUp(Process process) throws Exception {
+    new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor();
+  }
+
+  private static void awaitLine(BufferedReader log, String part) throws IOException {
+    String line = log.readLine();
+    while (line != null && !line.contains(part)) {
+      line = log.readLine();
+    }
+    assertTrue(line != null, "the log ended without: " + part);
   }
 
   private static Socket connect(int port, Process process) throws Exception {
--- a/src/test/java/beamspread/node/DiscoveryTest.java
+++ b/src/test/java/beamspread/node/DiscoveryTest.java
@@ -6,7 +6,10 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
 
 /** How a node follows the list of servers, over loopback sockets. */
 class DiscoveryTest {
@@ -108,6 +111,37 @@
     }
   }
 
+  @Test
+  void asksWhereTheNewConfigurationSays(@TempDir Path folder) throws Exception {
+    Path config = folder.resolve("config.json");
+    try (NodeRig rig = new NodeRig();
+        ServerSocket second = NodeRig.listen()) {
+      Peer first = rig.acceptDiscovery();
+      call(first);
+      first.write(HEAD + chunk(NodeRig.members(8, true, rig.cache.getLocalPort()) + "\n"));
+      serveOne(rig, rig.cache, "before");
+      String old = "127.0.0.1:" + rig.discovery.getLocalPort();
+      String text = rig.configText("").replace(old, "127.0.0.1:" + second.getLocalPort());
+      // Half a file, and one without an address, leave what was there in force.
+      Files.writeString(config, text.substring(0, text.length() / 2));
+      rig.node.reload(config.toString());
+      Files.writeString(config, text.replaceAll("127.0.0.1:\\d+", "nowhere"));
+      rig.node.reload(config.toString());
+      serveOne(rig, rig.cache, "between");
+      first.close();
+      Peer again = rig.acceptDiscovery();
+      assertEquals(WATCH.formatted(8), call(again));
+      Files.writeString(config, text);
+      rig.node.reload(config.toString());
+      try (Peer moved = new Peer(second.accept())) {
+        assertEquals(WATCH.formatted(8), call(moved));
+        assertTrue(again.ended());
+        moved.write(HEAD + chunk(NodeRig.members(9, true, rig.cache.getLocalPort()) + "\n"));
+        serveOne(rig, rig.cache, "after");
+      }
+    }
+  }
+
   @Test
   void sharesAConnectionWhenNoFurtherOneComesUp() throws Exception {
     ServerSocket moved = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
