Check cache servers' answers whole, and turn bad clients down at the edge

(2) A line or value that stopped halfway held its connection, and what was written behind, until the deadline (MetaReply.Decoder waits for the rest). (3) A connection was given to the next request before the bytes right behind an answer were seen (ServerConnection.finish), so that a second copy or noise spoilt that request. (4) Values over 64 KiB were passed on as they came, though the protocol has none: a client got the head of a spoilt one.

Unknown classes get CLIENT_ERROR, errors are followed by a pause and, after eight, by a close. Requests parked for a fetch are dropped once over, where a window that stays full kept them for good.

--- a/src/main/java/beamspread/model/Outcome.java
+++ b/src/main/java/beamspread/model/Outcome.java
@@ -32,7 +32,11 @@
     RESET(false, false),
     CANCELLED(false, false),
     MOOT(true, false),
-    NOT_STORED(true, true);
+    NOT_STORED(true, true),
+    /**
+     * What came back could not be read or trusted; the server runs, and may have run the attempt.
+     */
+    SPOILT(false, true);
 
     private final boolean provesNotRun;
     private final boolean fromServer;
--- a/src/main/java/beamspread/node/Attempt.java
+++ b/src/main/java/beamspread/node/Attempt.java
@@ -1,5 +1,7 @@
 package beamspread.node;
 
+import beamspread.model.Outcome;
+
 /** One send of a request to one cache server. */
 final class Attempt {
   final OpenRequest request;
@@ -30,4 +32,17 @@
     this.server = server;
     this.deadlineNanos = deadlineNanos;
   }
+
+  /** Whether it belongs to the request of this id. */
+  boolean has(String id) {
+    return request.id().equals(id);
+  }
+
+  /** Whether a reply can be the answer to it: of its request, a value for a read alone. */
+  boolean fits(MetaReply reply) {
+    boolean named = reply.id() == null || has(reply.id());
+    boolean served = reply.result() == Outcome.Result.OK;
+    boolean value = reply.length() >= 0;
+    return named && (!served || value != request.command.request.write());
+  }
 }
--- a/src/main/java/beamspread/node/ClientHandler.java
+++ b/src/main/java/beamspread/node/ClientHandler.java
@@ -9,6 +9,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import java.io.IOException;
 import java.util.ArrayDeque;
+import java.util.concurrent.TimeUnit;
 
 /** A client's connection: takes its commands and gives the answers in their order. */
 final class ClientHandler extends ChannelInboundHandlerAdapter {
@@ -18,6 +19,16 @@
    */
   private static final int MAX_OWED = 64;
 
+  /** Errors after which a connection is closed: its client does not speak the protocol. */
+  private static final int MAX_ERRORS = 8;
+
+  /**
+   * How long nothing is read from a client after an error. Guards against one that repeats what was
+   * turned down at full speed, and takes the node's core from the others; a usual client makes
+   * none.
+   */
+  private static final long PENALTY_MILLIS = 250;
+
   /** How long a client may read nothing of what waits for it. */
   private static final long MAX_STALL_NANOS = 10_000_000_000L;
 
@@ -28,6 +39,8 @@
   private Channel channel;
   private ClientConnections.Standing standing;
   private long stalledSince;
+  private int errors;
+  private boolean penalized;
   private boolean used;
   private boolean closing;
 
@@ -44,10 +57,7 @@
     /** Bytes that wait for the answers before them, null if there are none. */
     private ByteBuf waiting;
 
-    /** Where the rest of a long value comes from, null for an answer that is given whole. */
-    private ServerConnection source;
-
-    private boolean whole;
+    private boolean given;
     private boolean last;
 
     /** Gives a line as the whole answer. */
@@ -59,76 +69,25 @@
 
     /** Gives the whole answer. */
     void whole(ByteBuf bytes) {
-      whole = true;
-      add(bytes);
-    }
-
-    /** Begins a long value, whose rest comes from a server's connection. */
-    void begin(ByteBuf bytes, ServerConnection from) {
-      source = from;
-      add(bytes);
-    }
-
-    /** Goes on with a long value. */
-    void piece(ByteBuf bytes, boolean end) {
-      whole = end;
-      add(bytes);
-    }
-
-    private void add(ByteBuf bytes) {
       if (closing || !channel.isActive()) {
         bytes.release();
         return;
       }
+      given = true;
+      waiting = bytes;
       if (slots.peek() == this) {
-        channel.write(bytes, channel.voidPromise());
-        if (whole) {
-          advance();
-        } else if (!channel.isWritable()) {
-          source.pause();
-        }
+        advance();
         channel.flush();
         stand();
-      } else {
-        waiting =
-            waiting == null
-                ? bytes
-                : channel.alloc().compositeBuffer(1 << 10).addComponents(true, waiting, bytes);
-        if (source != null) {
-          source.pause();
-        }
       }
     }
-
-    /** The rest of a value that was begun never comes: only the connection's end can tell that. */
-    void cutOff() {
-      if (slots.peek() == this) {
-        channel.close();
-        return;
-      }
-      // None of it has gone out: a failure can still be told in its place.
-      source = null;
-      if (waiting != null) {
-        waiting.release();
-        waiting = null;
-      }
-      line("SERVER_ERROR failed");
-    }
   }
 
   /** Goes on to the next answer once the first has been given, as far as those have come. */
   private void advance() {
-    for (Slot slot = slots.peek(); slot != null; slot = slots.peek()) {
-      if (slot.waiting != null) {
-        channel.write(slot.waiting, channel.voidPromise());
-        slot.waiting = null;
-      }
-      if (!slot.whole) {
-        if (slot.source != null && channel.isWritable()) {
-          slot.source.resume();
-        }
-        break;
-      }
+    for (Slot slot = slots.peek(); slot != null && slot.given; slot = slots.peek()) {
+      channel.write(slot.waiting, channel.voidPromise());
+      slot.waiting = null;
       slots.poll();
       if (slot.last) {
         close();
@@ -156,7 +115,27 @@
 
   /** Reads on while the client reads its answers and is not owed too many. */
   private void steer() {
-    channel.config().setAutoRead(channel.isWritable() && slots.size() < MAX_OWED);
+    channel
+        .config()
+        .setAutoRead(
+            channel.isWritable() && slots.size() < MAX_OWED && !penalized && !decoder.lost());
+  }
+
+  private void penalize() {
+    errors++;
+    if (!penalized) {
+      penalized = true;
+      steer();
+      channel
+          .eventLoop()
+          .schedule(
+              () -> {
+                penalized = false;
+                steer();
+              },
+              PENALTY_MILLIS,
+              TimeUnit.MILLISECONDS);
+    }
   }
 
   @Override
@@ -180,11 +159,19 @@
     Slot slot = new Slot();
     slots.add(slot);
     stand();
-    if (command.reply == null) {
+    String reply = command.reply;
+    if (reply == null) {
       slot.request = dispatcher.request(command, slot);
-    } else {
-      slot.last = command.lost;
-      slot.line(command.reply);
+      if (slot.request == null) {
+        reply = "CLIENT_ERROR id in use";
+      }
+    }
+    if (reply != null) {
+      if (reply.startsWith("CLIENT_ERROR") || reply.equals("ERROR")) {
+        penalize();
+      }
+      slot.last = command.lost || errors >= MAX_ERRORS;
+      slot.line(reply);
     }
     if (slots.size() >= MAX_OWED) {
       steer();
@@ -199,10 +186,6 @@
   @Override
   public void channelWritabilityChanged(ChannelHandlerContext ctx) {
     stalledSince = channel.isWritable() ? 0 : System.nanoTime();
-    Slot head = slots.peek();
-    if (head != null && head.source != null && channel.isWritable()) {
-      head.source.resume();
-    }
     steer();
   }
 
@@ -218,9 +201,6 @@
       if (slot.request != null) {
         dispatcher.clientGone(slot.request);
       }
-      if (slot.source != null && !slot.whole) {
-        slot.source.drop();
-      }
     }
   }
 
--- a/src/main/java/beamspread/node/Dispatcher.java
+++ b/src/main/java/beamspread/node/Dispatcher.java
@@ -51,9 +51,6 @@
   private final ArrayDeque<Event> events = new ArrayDeque<>();
   private final Set<String> refusedCalls = new HashSet<>();
 
-  /** Classes whose answers are streams to the module. */
-  private final Set<String> streamed = new HashSet<>();
-
   private boolean telling;
   private boolean rescuing;
 
@@ -64,11 +61,6 @@
     this.pools = pools;
     this.timers = new Timers(loop, log, tickNanos(settings));
     this.balancer = new Balancer(settings, config.seed(), this);
-    for (Settings.ServiceClass service : settings.services()) {
-      if (service.streamed()) {
-        streamed.add(service.name());
-      }
-    }
     this.discovery =
         new DiscoveryClient(
             loop, config.discovery(), settings.asksForList(), config.known().version(), this);
@@ -127,7 +119,7 @@
   private void rescue(List<OpenRequest> doubtful) {
     long now = System.nanoTime();
     for (OpenRequest request : doubtful) {
-      if (!request.ended && !request.streaming && now - request.deadlineNanos > 0) {
+      if (!request.ended && now - request.deadlineNanos > 0) {
         end(request, "SERVER_ERROR failed");
       }
     }
@@ -145,11 +137,10 @@
 
   // What clients do.
 
-  /** Takes a client's request; null if it was answered at once. */
+  /** Takes a client's request; null if another one has its id. */
   OpenRequest request(MetaCommand command, ClientHandler.Slot slot) {
     if (open.containsKey(command.request.id())) {
       command.release();
-      slot.line("CLIENT_ERROR id in use");
       return null;
     }
     OpenRequest request = new OpenRequest(command, slot, System.nanoTime());
@@ -196,7 +187,6 @@
     }
     OpenRequest request = attempt.request;
     double elapsed = (System.nanoTime() - attempt.sentAt) / 1e9;
-    request.ended |= request.streaming;
     tell(
         now -> {
           request.out--;
@@ -218,42 +208,18 @@
         });
   }
 
-  /**
-   * A reply has come, whole but for a long value's rest. Returns where that rest goes, null if
-   * nobody wants it.
-   */
-  ClientHandler.Slot replied(Attempt attempt, MetaReply reply, ServerConnection from) {
+  /** A reply has come, whole. */
+  void replied(Attempt attempt, MetaReply reply, ByteBufAllocator allocator) {
     OpenRequest request = attempt.request;
-    ClientHandler.Slot rest = null;
-    if (reply.result() == Outcome.Result.OK && !request.ended && !request.streaming) {
-      if (reply.streamed()) {
-        rest = request.slot;
-        rest.begin(head(from.alloc(), reply, false), from);
-        if (streamed.contains(request.command.request.serviceClass())) {
-          request.streaming = true;
-          attempt.timeout.cancel();
-          tell(now -> balancer.streamStarted(now, request.id(), attempt.number));
-          return rest;
-        }
-        // Guards against taking a slow reader's time for the server's: the module is told of an
-        // answer when it has begun, which is when its time counts.
-        request.ended = true;
-      } else {
-        request.ended = true;
-        request.slot.whole(head(from.alloc(), reply, true));
-      }
+    if (reply.result() == Outcome.Result.OK && !request.ended) {
+      request.ended = true;
+      request.slot.whole(answer(allocator, reply));
     }
     ended(attempt, reply.result(), reply.note(), reply.load());
-    return rest;
-  }
-
-  /** A long value has come to its end. */
-  void streamed(Attempt attempt, MetaReply reply) {
-    ended(attempt, reply.result(), reply.note(), reply.load());
   }
 
-  private static ByteBuf head(ByteBufAllocator allocator, MetaReply reply, boolean whole) {
-    int size = whole && reply.value() != null ? reply.value().readableBytes() : 0;
+  private static ByteBuf answer(ByteBufAllocator allocator, MetaReply reply) {
+    int size = reply.value() != null ? reply.value().readableBytes() : 0;
     ByteBuf bytes = allocator.buffer(reply.id().length() + 48 + size);
     if (reply.length() < 0) {
       ByteBufUtil.writeAscii(bytes, "HD O");
@@ -315,10 +281,7 @@
     Attempt attempt = new Attempt(request, request.attempts.size(), server, deadline);
     request.attempts.add(attempt);
     request.out++;
-    if (request.ended
-        || request.streaming
-        || attempt.number >= settings.limits().maxAttempts()
-        || latest - now <= 0) {
+    if (request.ended || attempt.number >= settings.limits().maxAttempts() || latest - now <= 0) {
       ended(attempt, Outcome.Result.MOOT);
       return;
     }
@@ -339,7 +302,7 @@
   @Override
   public void cancel(String requestId, int number) {
     OpenRequest request = open.get(requestId);
-    if (request != null && number < request.attempts.size() && !request.streaming) {
+    if (request != null && number < request.attempts.size()) {
       withdraw(request.attempts.get(number), Outcome.Result.CANCELLED);
     }
   }
@@ -356,7 +319,7 @@
   }
 
   private void end(OpenRequest request, String answer) {
-    if (request != null && !request.ended && !request.streaming) {
+    if (request != null && !request.ended) {
       request.ended = true;
       request.slot.line(answer);
       settle(request);
--- a/src/main/java/beamspread/node/MetaCommand.java
+++ b/src/main/java/beamspread/node/MetaCommand.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.ByteToMessageDecoder;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Set;
 
 /**
  * A command as a client sent it. A write keeps its value until the request has ended, for a second
@@ -18,8 +19,8 @@
 
   private static final int MAX_ID = 64;
 
-  /** Longest deadline in milliseconds that is believed: an hour. */
-  private static final int MAX_DEADLINE = 3_600_000;
+  /** Longest deadline in milliseconds that is believed: it bounds what a request can hold. */
+  private static final int MAX_DEADLINE = 60_000;
 
   /** What to answer at once, null for a request that goes to a cache server. */
   final String reply;
@@ -85,14 +86,18 @@
 
     private final MemoryBudget budget;
 
+    /** The classes that there are. Guards cache servers against what they would turn away. */
+    private final Set<String> classes;
+
     /** The write whose value is being read, and how many bytes with its CRLF are still to come. */
     private MetaCommand write;
 
     private int missing;
     private boolean lost;
 
-    Decoder(MemoryBudget budget) {
+    Decoder(MemoryBudget budget, Set<String> classes) {
       this.budget = budget;
+      this.classes = classes;
     }
 
     /** Whether a command has begun and not ended. */
@@ -100,6 +105,11 @@
       return write != null || actualReadableBytes() > 0;
     }
 
+    /** Whether nothing more is taken: what comes can no longer be told apart. */
+    boolean lost() {
+      return lost;
+    }
+
     @Override
     protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) {
       if (lost) {
@@ -121,6 +131,9 @@
       } catch (MetaLine.MalformedException e) {
         dropWrite();
         lost = true;
+        // Nothing after this is looked at; a message without a byte read would be a decoder's
+        // fault.
+        in.skipBytes(in.readableBytes());
         out.add(new MetaCommand("CLIENT_ERROR " + e.getMessage(), true));
       }
     }
@@ -238,7 +251,7 @@
       }
       if (wrong == null && (id == null || id.isEmpty())) {
         wrong = "bad or missing id";
-      } else if (wrong == null && (serviceClass == null || serviceClass.isEmpty())) {
+      } else if (wrong == null && (serviceClass == null || !classes.contains(serviceClass))) {
         wrong = "bad or missing class";
       } else if (wrong == null && (deadline <= 0 || deadline > MAX_DEADLINE)) {
         wrong = "bad or missing deadline";
--- a/src/main/java/beamspread/node/MetaLine.java
+++ b/src/main/java/beamspread/node/MetaLine.java
@@ -8,8 +8,8 @@
   /** Longest line taken, well above a key of 250 bytes with its flags. */
   static final int MAX_LENGTH = 2048;
 
-  /** Longest value taken or passed on. */
-  static final int MAX_VALUE = 4 << 20;
+  /** Longest value taken or passed on, by the protocol. */
+  static final int MAX_VALUE = 1 << 16;
 
   final byte[] bytes;
   private int position;
--- a/src/main/java/beamspread/node/MetaReply.java
+++ b/src/main/java/beamspread/node/MetaReply.java
@@ -16,7 +16,7 @@
  * @param id the request's id as the server repeats it, null where an error line has none
  * @param receipt a write's receipt, null for another reply
  * @param length the value's length, -1 where the reply has no value
- * @param value the value with its CRLF; null where there is none, or where it follows in pieces
+ * @param value the value with its CRLF, null where there is none
  * @param note what it says of the server's cache
  * @param load the server's load report, null if none came along
  */
@@ -29,39 +29,35 @@
     Outcome.Note note,
     LoadReport load) {
 
-  /** Longest value that is gathered whole; a longer one is passed on as it comes. */
-  static final int MAX_GATHERED = 1 << 16;
-
-  /** Whether the value follows in pieces. */
-  boolean streamed() {
-    return length > MAX_GATHERED;
-  }
-
-  /** Reads replies off a cache server's connection; a long value follows its reply in pieces. */
+  /**
+   * Reads replies off a cache server's connection. Each is whole and well formed: what does not fit
+   * the protocol in its line, its length or its end spoils the connection, from which nothing more
+   * is read then. Guards against serving a client with bytes that follow a spoilt answer.
+   */
   static final class Decoder extends ByteToMessageDecoder {
     private MetaReply head;
+    private boolean spoilt;
 
-    /** Bytes of a long value and its CRLF that are still to come. */
-    private int missing;
+    /** Whether a reply has begun and not ended. */
+    boolean midway() {
+      return head != null || actualReadableBytes() > 0;
+    }
 
     @Override
     protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) {
+      if (spoilt) {
+        in.skipBytes(in.readableBytes());
+        return;
+      }
       try {
-        if (missing > 0) {
-          readPiece(in, out);
-          return;
-        }
         if (head == null) {
           MetaLine line = MetaLine.read(in);
           if (line == null) {
             return;
           }
           head = parse(line);
-          if (head.streamed()) {
-            missing = head.length + 2;
-          }
         }
-        if (head.length < 0 || head.streamed()) {
+        if (head.length < 0) {
           out.add(head);
           head = null;
         } else if (in.readableBytes() >= head.length + 2) {
@@ -81,24 +77,12 @@
           head = null;
         }
       } catch (MetaLine.MalformedException e) {
+        spoilt = true;
+        in.skipBytes(in.readableBytes());
         throw new DecoderException(e);
       }
     }
 
-    private void readPiece(ByteBuf in, List<Object> out) throws MetaLine.MalformedException {
-      // The CRLF is read as a whole, lest a value be called whole before its end was checked.
-      if (missing > 2) {
-        int bytes = Math.min(in.readableBytes(), missing - 2);
-        missing -= bytes;
-        out.add(in.readRetainedSlice(bytes));
-      } else if (in.readableBytes() >= 2) {
-        int start = in.readerIndex();
-        MetaLine.readEnd(in);
-        missing = 0;
-        out.add(in.retainedSlice(start, 2));
-      }
-    }
-
     private static MetaReply parse(MetaLine line) throws MetaLine.MalformedException {
       line.next();
       Outcome.Result result = Outcome.Result.OK;
@@ -109,7 +93,10 @@
           throw new MetaLine.MalformedException("bad data length");
         }
       } else if (line.is("SERVER_ERROR")) {
-        result = line.next() && line.is("busy") ? Outcome.Result.FULL : Outcome.Result.ERROR;
+        if (!line.next()) {
+          throw new MetaLine.MalformedException("error without a word");
+        }
+        result = line.is("busy") ? Outcome.Result.FULL : Outcome.Result.ERROR;
       } else if (!line.is("HD")) {
         throw new MetaLine.MalformedException("unknown reply");
       }
@@ -132,9 +119,15 @@
       if (result == Outcome.Result.OK && id == null) {
         throw new MetaLine.MalformedException("reply without an id");
       }
+      if (result == Outcome.Result.OK && length < 0 && (receipt == null || receipt.isEmpty())) {
+        throw new MetaLine.MalformedException("reply without a receipt");
+      }
       return new MetaReply(result, id, receipt, length, null, note, load);
     }
 
+    /** A load above this is none that a server can have. */
+    private static final double MAX_LOAD = 1e9;
+
     private static LoadReport load(String text) {
       double[] values = new double[8];
       Arrays.fill(values, Double.NaN);
@@ -154,7 +147,8 @@
             };
         if (place >= 0) {
           try {
-            values[place] = Double.parseDouble(pair.substring(equals + 1));
+            double value = Double.parseDouble(pair.substring(equals + 1));
+            values[place] = value >= 0 && value < MAX_LOAD ? value : Double.NaN;
           } catch (NumberFormatException e) {
             // A figure that cannot be read is one that was not reported.
           }
--- a/src/main/java/beamspread/node/Node.java
+++ b/src/main/java/beamspread/node/Node.java
@@ -15,6 +15,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
@@ -37,7 +38,7 @@
   private static final int TIER_CONNECTIONS = 28;
 
   /** How often connections are looked through for those that have been of no use for too long. */
-  private static final long SWEEP_MILLIS = 250;
+  private static final long SWEEP_MILLIS = 100;
 
   private final NodeConfig config;
   private final Log log = new Log();
@@ -47,6 +48,7 @@
   private final ServerPools pools;
   private final Dispatcher dispatcher;
   private final MemoryBudget values;
+  private final Set<String> classes;
   private final CountDownLatch drained = new CountDownLatch(1);
   private Channel listener;
 
@@ -60,6 +62,7 @@
     this.config = config;
     group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     loop = group.next();
+    classes = config.classes();
     clients = new ClientConnections((int) (config.sockets() * CLIENT_SHARE));
     values = new MemoryBudget((long) config.memoryMb() << 18);
     PooledByteBufAllocator allocator =
@@ -168,7 +171,7 @@
       channel.close();
       return;
     }
-    MetaCommand.Decoder decoder = new MetaCommand.Decoder(values);
+    MetaCommand.Decoder decoder = new MetaCommand.Decoder(values, classes);
     channel.pipeline().addLast(decoder, new ClientHandler(dispatcher, clients, decoder));
   }
 
@@ -176,6 +179,7 @@
     long now = System.nanoTime();
     clients.sweep(now);
     pools.closeStale(now);
+    pools.closeStalled(now);
   }
 
   /**
--- a/src/main/java/beamspread/node/NodeConfig.java
+++ b/src/main/java/beamspread/node/NodeConfig.java
@@ -9,6 +9,8 @@
 import java.nio.file.Files;
 import java.nio.file.InvalidPathException;
 import java.nio.file.Path;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * What the platform tells a node.
@@ -68,6 +70,13 @@
     }
   }
 
+  /** The names of the classes of requests. */
+  Set<String> classes() {
+    return settings.services().stream()
+        .map(Settings.ServiceClass::name)
+        .collect(Collectors.toUnmodifiableSet());
+  }
+
   /** The longest time that a client may wait, in seconds. */
   double longestDeadline() {
     return settings.services().stream()
--- a/src/main/java/beamspread/node/OpenRequest.java
+++ b/src/main/java/beamspread/node/OpenRequest.java
@@ -16,9 +16,6 @@
   /** Whether the final answer is given, or the client has gone. */
   boolean ended;
 
-  /** Whether a long value is under way to the client: there is no deadline any more. */
-  boolean streaming;
-
   OpenRequest(MetaCommand command, ClientHandler.Slot slot, long now) {
     this.command = command;
     this.slot = slot;
--- a/src/main/java/beamspread/node/ServerConnection.java
+++ b/src/main/java/beamspread/node/ServerConnection.java
@@ -2,30 +2,26 @@
 
 import beamspread.model.Outcome;
 import io.netty.bootstrap.Bootstrap;
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.DecoderException;
 import java.io.IOException;
 import java.net.SocketAddress;
 import java.util.ArrayDeque;
-import java.util.concurrent.TimeUnit;
 
 /**
  * One connection to a cache server. Answers come in the order of the commands; each is matched with
  * the attempt that waits longest.
  */
 final class ServerConnection extends ChannelInboundHandlerAdapter {
-  /**
-   * How long a long value may pause: a cache server that works pauses for 0.1 s at most, and a
-   * client that is kept waiting for over 2 s has lost it.
-   */
-  private static final long MAX_PAUSE_NANOS = 1_500_000_000L;
+  /** How long a reply that has begun may pause. */
+  private static final long MAX_PAUSE_NANOS = 250_000_000L;
 
   private final ServerPool pool;
   private final Dispatcher dispatcher;
+  private final MetaReply.Decoder decoder = new MetaReply.Decoder();
   private final ArrayDeque<Attempt> underWay = new ArrayDeque<>();
   private final long openedAt = System.nanoTime();
   private Channel channel;
@@ -38,15 +34,16 @@
   /** Attempts under way that somebody still waits for. */
   private int awaited;
 
-  private boolean closed;
+  /** Whether bytes are being read, of which not all have been looked at. */
+  private boolean reading;
 
-  /** The reply whose long value is coming, and how many bytes of it with its CRLF are to come. */
-  private MetaReply streaming;
+  /** Whether this node closes it for what came on it. */
+  private boolean spoilt;
 
-  private int missing;
+  private boolean closed;
 
-  /** Where that value goes, null if nobody wants it. */
-  private ClientHandler.Slot sink;
+  /** The id of the answer that came last, null if none did. */
+  private String lastId;
 
   ServerConnection(ServerPool pool, Dispatcher dispatcher) {
     this.pool = pool;
@@ -61,11 +58,7 @@
 
   @Override
   public void handlerAdded(ChannelHandlerContext ctx) {
-    ctx.pipeline().addBefore(ctx.name(), null, new MetaReply.Decoder());
-  }
-
-  ByteBufAllocator alloc() {
-    return channel.alloc();
+    ctx.pipeline().addBefore(ctx.name(), null, decoder);
   }
 
   long openedAt() {
@@ -86,7 +79,7 @@
 
   /** Attempts under way; more than any limit where nothing may be written any more. */
   int load() {
-    return retiring || closed || streaming != null ? Integer.MAX_VALUE : underWay.size();
+    return retiring || closed || reading ? Integer.MAX_VALUE : underWay.size();
   }
 
   /** Whether an attempt is better written here: fewer to wait for, or more lately in use. */
@@ -136,14 +129,7 @@
   @Override
   public void channelRead(ChannelHandlerContext ctx, Object message) {
     heardAt = System.nanoTime();
-    if (message instanceof ByteBuf piece) {
-      try {
-        piece(piece);
-      } finally {
-        piece.release();
-      }
-      return;
-    }
+    reading = true;
     MetaReply reply = (MetaReply) message;
     try {
       reply(reply);
@@ -155,117 +141,92 @@
   }
 
   private void reply(MetaReply reply) {
-    Attempt head = underWay.peek();
-    if (closed) {
+    if (closed || spoilt) {
       return;
     }
-    if (head == null || (reply.id() != null && !reply.id().equals(head.request.id()))) {
-      // Guards against serving one request with another's answer: what follows cannot be trusted.
-      dispatcher.log("a reply of " + channel.remoteAddress() + " matches no request");
-      channel.close();
+    Attempt head = underWay.peek();
+    if (reply.id() != null && reply.id().equals(lastId) && (head == null || !head.has(lastId))) {
+      // A second copy of an answer. It harms nobody, but nothing new is written behind it.
+      retire();
       return;
     }
-    ClientHandler.Slot rest = head.over ? null : dispatcher.replied(head, reply, this);
-    if (reply.streamed()) {
-      streaming = reply;
-      missing = reply.length() + 2;
-      sink = rest;
-      watchPauses();
-    } else {
-      finish();
-    }
-  }
-
-  private void piece(ByteBuf bytes) {
-    if (closed || streaming == null) {
+    if (head == null || !head.fits(reply)) {
+      spoil("a reply matches no request");
       return;
     }
-    missing -= bytes.readableBytes();
-    if (sink != null) {
-      sink.piece(bytes.retain(), missing == 0);
-    }
-    if (missing == 0) {
-      dispatcher.streamed(underWay.peek(), streaming);
-      streaming = null;
-      sink = null;
-      finish();
-    }
-  }
-
-  /** The client that a long value goes to has left. */
-  void drop() {
-    if (closed) {
-      return;
+    lastId = head.request.id();
+    if (!head.over) {
+      dispatcher.replied(head, reply, channel.alloc());
     }
-    sink = null;
-    Attempt head = underWay.peek();
-    dispatcher.ended(head, Outcome.Result.CANCELLED);
-    abandon(head, false);
-    resume();
-  }
-
-  /** The answer that was waited for longest has come whole. */
-  private void finish() {
     if (!underWay.poll().abandoned) {
       awaited--;
     }
     usedAt = System.nanoTime();
     if (retiring) {
       retire();
-    } else if (underWay.isEmpty() && !closed) {
-      pool.free(this);
     }
   }
 
-  /** Reads no more for now: the client does not take what has come. */
-  void pause() {
-    channel.config().setAutoRead(false);
+  /**
+   * All that has come is looked at: the connection may be used again. Guards against bytes right
+   * behind an answer, which are nobody's and would be taken for the next request's: no request is
+   * written before they are seen.
+   */
+  @Override
+  public void channelReadComplete(ChannelHandlerContext ctx) {
+    heardAt = System.nanoTime();
+    reading = false;
+    if (underWay.isEmpty() && decoder.midway()) {
+      spoil("bytes behind the last reply");
+    }
+    if (!closed && !spoilt && !retiring) {
+      pool.free(this);
+    }
   }
 
-  void resume() {
-    if (!channel.config().isAutoRead()) {
-      heardAt = System.nanoTime();
-      channel.config().setAutoRead(true);
+  /**
+   * What came cannot be trusted, nor can anything after it. Guards against serving one request with
+   * another's answer. The attempts under way may have run; the server is not taken for broken,
+   * which could do harm only if it answered nobody well, and then it serves nothing and is seen to.
+   */
+  private void spoil(String why) {
+    if (!spoilt && !closed) {
+      spoilt = true;
+      dispatcher.log(channel.remoteAddress() + ": " + why);
+      channel.close();
     }
   }
 
-  /** Guards against a server that vanishes within a long value, whose attempt has no time-out. */
-  private void watchPauses() {
-    MetaReply watched = streaming;
-    channel
-        .eventLoop()
-        .schedule(
-            () -> {
-              if (streaming != watched || closed) {
-                return;
-              }
-              if (channel.config().isAutoRead() && System.nanoTime() - heardAt > MAX_PAUSE_NANOS) {
-                channel.close();
-              } else {
-                watchPauses();
-              }
-            },
-            MAX_PAUSE_NANOS / 4,
-            TimeUnit.NANOSECONDS);
+  /**
+   * Gives up a reply that began and does not go on. Guards against lines without an end and lengths
+   * that are too great, behind which all else on the connection would wait until its time is up.
+   * Harms a server that pauses within an answer for longer.
+   */
+  void closeIfStalled(long now) {
+    if (decoder.midway() && now - heardAt > MAX_PAUSE_NANOS) {
+      spoil("a reply that does not end");
+    }
   }
 
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
     closed = true;
-    if (sink != null) {
-      sink.cutOff();
-    }
     for (Attempt attempt = underWay.poll(); attempt != null; attempt = underWay.poll()) {
       // Only a command whose last byte was not handed to the socket has provably not run.
       dispatcher.ended(
-          attempt, attempt.written ? Outcome.Result.RESET : Outcome.Result.CONNECT_FAILED);
+          attempt,
+          !attempt.written
+              ? Outcome.Result.CONNECT_FAILED
+              : spoilt ? Outcome.Result.SPOILT : Outcome.Result.RESET);
     }
     pool.closed(this);
   }
 
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-    if (!(cause instanceof IOException)) {
+    if (cause instanceof DecoderException && cause.getCause() != null) {
+      spoil(cause.getCause().getMessage());
+    } else if (!(cause instanceof IOException)) {
       dispatcher.report("server connection", cause);
     }
     ctx.close();
--- a/src/main/java/beamspread/node/ServerPool.java
+++ b/src/main/java/beamspread/node/ServerPool.java
@@ -160,15 +160,14 @@
     } else if (connecting > 0) {
       return;
     }
-    // Guards against an endless loop: what is sent may come to wait again.
+    if (usable) {
+      sendAgain();
+      return;
+    }
     List<Attempt> stranded = new ArrayList<>(waiting);
     waiting.clear();
     for (Attempt attempt : stranded) {
-      if (usable) {
-        send(attempt);
-      } else {
-        dispatcher.ended(attempt, Outcome.Result.CONNECT_FAILED);
-      }
+      dispatcher.ended(attempt, Outcome.Result.CONNECT_FAILED);
     }
   }
 
@@ -181,14 +180,23 @@
     return live;
   }
 
-  /** A connection has nothing under way: the attempt that waits longest may have it. */
+  /** A connection may be used again: what waits longest may have it. */
   void free(ServerConnection connection) {
-    Attempt next = waiting.poll();
-    if (next != null) {
-      connection.write(next);
+    if (connection.load() == 0 && !waiting.isEmpty()) {
+      connection.write(waiting.poll());
+    }
+    if (connecting == 0 && !waiting.isEmpty()) {
+      sendAgain();
     }
   }
 
+  /** Guards against an endless loop: what is sent may come to wait again. */
+  private void sendAgain() {
+    List<Attempt> stranded = new ArrayList<>(waiting);
+    waiting.clear();
+    stranded.forEach(this::send);
+  }
+
   /** A connection is closed. */
   void closed(ServerConnection connection) {
     connections.remove(connection);
@@ -214,6 +222,13 @@
     }
   }
 
+  /** Closes connections on which a reply began and does not go on. */
+  void closeStalled(long now) {
+    for (ServerConnection connection : List.copyOf(connections)) {
+      connection.closeIfStalled(now);
+    }
+  }
+
   /** Closes connections not used since the given time, all idle ones for 0. */
   void closeIdle(long before) {
     for (ServerConnection connection : List.copyOf(connections)) {
--- a/src/main/java/beamspread/node/ServerPools.java
+++ b/src/main/java/beamspread/node/ServerPools.java
@@ -74,6 +74,13 @@
     }
   }
 
+  /** Closes connections on which a reply began and does not go on. */
+  void closeStalled(long now) {
+    for (ServerPool pool : pools.values()) {
+      pool.closeStalled(now);
+    }
+  }
+
   /** Closes connections that have been idle for so long that the server might. */
   void closeStale(long now) {
     for (ServerPool pool : pools.values()) {
--- a/src/main/java/beamspread/node/Warmup.java
+++ b/src/main/java/beamspread/node/Warmup.java
@@ -58,7 +58,7 @@
       }
       var caches = UnixDomainSocketAddress.of(files.get(0));
       var front = UnixDomainSocketAddress.of(files.get(1));
-      channels.add(listen(loop, allocator, caches, Warmup::serveAsCache));
+      channels.add(listen(loop, allocator, caches, channel -> serveAsCache(channel, config)));
       Dispatcher dispatcher = dispatcher(config, loop, allocator, log);
       List<MemberList.Member> members = new ArrayList<>();
       for (int i = 0; i < SERVERS; i++) {
@@ -76,7 +76,7 @@
               allocator,
               front,
               channel -> {
-                MetaCommand.Decoder decoder = new MetaCommand.Decoder(values);
+                MetaCommand.Decoder decoder = new MetaCommand.Decoder(values, config.classes());
                 channel
                     .pipeline()
                     .addLast(decoder, new ClientHandler(dispatcher, clients, decoder));
@@ -175,11 +175,11 @@
     return new Dispatcher(own, loop, pools, log);
   }
 
-  private static void serveAsCache(Channel channel) {
+  private static void serveAsCache(Channel channel, NodeConfig config) {
     channel
         .pipeline()
         .addLast(
-            new MetaCommand.Decoder(new MemoryBudget(1 << 20)),
+            new MetaCommand.Decoder(new MemoryBudget(1 << 20), config.classes()),
             new SimpleChannelInboundHandler<MetaCommand>() {
               @Override
               protected void channelRead0(ChannelHandlerContext ctx, MetaCommand command) {
--- a/src/main/java/beamspread/policy/Balancer.java
+++ b/src/main/java/beamspread/policy/Balancer.java
@@ -3,6 +3,7 @@
 import beamspread.model.LoadReport;
 import beamspread.model.MembershipUpdate;
 import beamspread.model.Outcome;
+import beamspread.model.Outcome.Result;
 import beamspread.model.Request;
 import beamspread.model.Settings;
 import java.util.ArrayList;
@@ -360,7 +361,7 @@
     ServerHealth server = p.tries.get(outcome.attempt()).server;
     boolean refused = server.ended(now, outcome, settings.limits().idleTimeout(), fewFailing);
     thrift(now, server, refused);
-    if (outcome.result() == Outcome.Result.OK) {
+    if (outcome.result() == Result.OK) {
       retryTokens = Math.min(RETRY_BURST, retryTokens + RETRY_SHARE);
       answers++;
       if (server.warmth(now) >= 1) {
@@ -369,7 +370,7 @@
     }
     // First: a retry would take the place of the fetch that has ended, and keep its key shut.
     learn(now, p, server, outcome);
-    if (outcome.ended() || outcome.result() == Outcome.Result.OK || p.answered) {
+    if (outcome.ended() || outcome.result() == Result.OK || p.answered) {
       over(p);
     } else if (p.out == 0) {
       next(now, p, outcome);
@@ -402,8 +403,7 @@
             || outcome.note() == Outcome.Note.MISS_PENDING;
     // A hung server has no hits to tell of it: while fetches fare well elsewhere it is blamed.
     boolean hung =
-        outcome.result() == Outcome.Result.TIMEOUT
-            && (!guard.troubled() || singledOut(now, server));
+        outcome.result() == Result.TIMEOUT && (!guard.troubled() || singledOut(now, server));
     double fair = fairStrain();
     if (outcome.load() != null && outcome.load().utilization() >= 0) {
       server.strained(now, outcome.load().utilization() / FULL_CORES, fair);
@@ -411,10 +411,9 @@
     if (p.request.write() || fetch && !hung && outcome.note() != Outcome.Note.HIT) {
       return;
     }
-    if (outcome.result() == Outcome.Result.OK) {
+    if (outcome.result() == Result.OK) {
       server.strained(now, outcome.elapsed() / (FAIR_PART_OF_AIM * p.type.aim()), fair);
-    } else if (outcome.result() == Outcome.Result.TIMEOUT
-        || outcome.result() == Outcome.Result.FULL) {
+    } else if (outcome.result() == Result.TIMEOUT || outcome.result() == Result.FULL) {
       server.strained(now, 2, fair);
     }
   }
@@ -422,7 +421,7 @@
   /** What an outcome says of the caches and the origin, and who may go on because of it. */
   private void learn(double now, PendingRequest p, ServerHealth server, Outcome outcome) {
     judge(now, p, server, outcome);
-    boolean ok = outcome.result() == Outcome.Result.OK;
+    boolean ok = outcome.result() == Result.OK;
     if (ok && !p.request.write()) {
       guard.answered(now, OriginGuard.pair(p, server), outcome.note());
     }
@@ -431,9 +430,9 @@
       boolean hit = outcome.note() == Outcome.Note.HIT;
       // A strained server makes its fetches late or full by itself: that is no sign of the origin.
       boolean failed =
-          outcome.result() == Outcome.Result.ERROR
-              || ((outcome.result() == Outcome.Result.TIMEOUT
-                      || outcome.result() == Outcome.Result.FULL
+          outcome.result() == Result.ERROR
+              || ((outcome.result() == Result.TIMEOUT
+                      || outcome.result() == Result.FULL
                       || (ok && late && !hit))
                   && !singledOut(now, server));
       List<PendingRequest> followers = guard.over(now, p, ok && !late, failed);
@@ -470,13 +469,14 @@
       answer(p);
       return;
     }
-    if (outcome.result() == Outcome.Result.NOT_STORED) {
+    if (outcome.result() == Result.NOT_STORED) {
       ServerHealth origin = leastLoaded(now, p, origins);
       if (origin != null) {
         send(now, p, origin);
         return;
       }
-    } else if (outcome.result().unreachable() || (retryTokens >= 1 && !guard.troubled())) {
+    } else if (outcome.result().unreachable()
+        || (retryTokens >= 1 && (outcome.result() == Result.SPOILT || !guard.troubled()))) {
       // Not while fetches fail: a retry would be one more of them.
       retryTokens -= outcome.result().unreachable() ? 0 : 1;
       if (dispatch(now, p)) {
@@ -524,7 +524,7 @@
 
   /** A probe has ended: none is sent, requests themselves are the trials. */
   public void probeResult(
-      double now, long server, Outcome.Result result, double elapsed, LoadReport load) {}
+      double now, long server, Result result, double elapsed, LoadReport load) {}
 
   /** A peer's message: nothing is said among balancers, each decides by what it sees. */
   public void peerMessage(double now, int from, String text) {}
--- a/src/main/java/beamspread/policy/OriginGuard.java
+++ b/src/main/java/beamspread/policy/OriginGuard.java
@@ -82,6 +82,7 @@
   }
 
   void park(PendingRequest p) {
+    parked.removeIf(old -> !old.waiting || old.answered); // Or a window that stays full keeps them.
     parked.addLast(p);
   }
 
--- a/src/test/java/beamspread/node/NodeRig.java
+++ b/src/test/java/beamspread/node/NodeRig.java
@@ -5,6 +5,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.net.SocketTimeoutException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -49,6 +50,20 @@
     return socket;
   }
 
+  /** The next connection to one of two servers. */
+  static Peer acceptEither(ServerSocket one, ServerSocket other) throws IOException {
+    for (int i = 0; i < Peer.PATIENCE_MILLIS / 20; i++) {
+      ServerSocket server = i % 2 == 0 ? one : other;
+      server.setSoTimeout(20);
+      try {
+        return new Peer(server.accept());
+      } catch (SocketTimeoutException e) {
+        // Perhaps the other.
+      }
+    }
+    throw new IOException("no connection to either server");
+  }
+
   /** The configuration's text; the node listens where there is a free port. */
   String configText(String settings) {
     return """
