Set one alarm for all timers

Cause, from reading and a probe: Timers.arm scheduled an earlier alarm and left the later one; each alarm that runs sets a further one while any timer is due, which under load is always.

Change: an earlier alarm takes the place of the later one.

--- a/src/main/java/beamspread/node/Timers.java
+++ b/src/main/java/beamspread/node/Timers.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.TreeMap;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -18,6 +19,7 @@
   private final long start = System.nanoTime();
   private final TreeMap<Long, List<Timer>> due = new TreeMap<>();
   private long armedFor = Long.MAX_VALUE;
+  private Future<?> armed;
 
   Timers(EventLoop loop, Log log, long tickNanos) {
     this.loop = loop;
@@ -59,7 +61,12 @@
     if (tick < armedFor) {
       armedFor = tick;
       long delay = start + tick * tickNanos - System.nanoTime();
-      loop.schedule(this::run, Math.max(0, delay), TimeUnit.NANOSECONDS);
+      // Guards against alarms that add up: each would set a further one for as long as any timer is
+      // due, which under load is always.
+      if (armed != null) {
+        armed.cancel(false);
+      }
+      armed = loop.schedule(this::run, Math.max(0, delay), TimeUnit.NANOSECONDS);
     }
   }
 
--- a/src/test/java/beamspread/node/TimersTest.java
+++ b/src/test/java/beamspread/node/TimersTest.java
@@ -6,12 +6,14 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.lang.reflect.Proxy;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 
 class TimersTest {
@@ -89,4 +91,39 @@
       assertEquals(List.of("by", "after"), order);
     }
   }
+
+  @Test
+  void setsNoMoreAlarmsThanThereAreTimers() throws Exception {
+    try (Group group = new Group()) {
+      AtomicInteger alarms = new AtomicInteger();
+      EventLoop counted =
+          (EventLoop)
+              Proxy.newProxyInstance(
+                  EventLoop.class.getClassLoader(),
+                  new Class<?>[] {EventLoop.class},
+                  (proxy, method, args) -> {
+                    if (method.getName().equals("schedule")) {
+                      alarms.incrementAndGet();
+                    }
+                    return method.invoke(group.loop, args);
+                  });
+      int timers = 100;
+      CountDownLatch done = new CountDownLatch(timers);
+      group
+          .loop
+          .submit(
+              () -> {
+                Timers under = new Timers(counted, new Log(), TICK / 10);
+                // Each is due before all that were set, so that each needs an earlier alarm.
+                for (int i = timers; i > 0; i--) {
+                  under.after(i * TICK / 10, done::countDown);
+                }
+              })
+          .sync();
+      assertTrue(done.await(Peer.PATIENCE_MILLIS, TimeUnit.MILLISECONDS));
+      // One for each timer as it is set and one as it comes due; alarms that set further ones as
+      // long as anything is due would come to thousands.
+      assertTrue(alarms.get() <= 2 * timers, alarms + " alarms");
+    }
+  }
 }
