Handle signals before the node listens

Node.serve set the handlers after it listened; JarIT signals as soon as it has an answer, and SIGHUP met its default, which ends the process. So it would for an operator's script. Ruled out: the file (the test writes it before the signal).

Change: warm-up and list first, then the handlers, then the listener.

--- a/src/main/java/beamspread/node/Node.java
+++ b/src/main/java/beamspread/node/Node.java
@@ -63,7 +63,7 @@
   private final MemoryBudget values;
   private final Set<String> classes;
   private final CountDownLatch drained = new CountDownLatch(1);
-  private Channel listener;
+  private volatile Channel listener;
 
   /** A node that is not listening yet. */
   Node(NodeConfig config) {
@@ -117,19 +117,22 @@
       return 2;
     }
     Node node = new Node(config);
-    try {
-      node.start();
-    } catch (IOException e) {
-      System.err.println("serve: cannot listen on " + config.listen() + ": " + e.getMessage());
-      node.close();
-      return 1;
-    }
+    node.prepare();
+    // Before it listens: who sees a node answer may signal it at once.
     Runtime.getRuntime().addShutdownHook(new Thread(node::drain, "drain"));
     try {
       Hangup.on(() -> node.reload(configFile));
     } catch (ReflectiveOperationException | IllegalArgumentException e) {
       node.log.line("no new configuration can be taken: " + e);
     }
+    try {
+      node.listen();
+    } catch (IOException e) {
+      System.err.println("serve: cannot listen on " + config.listen() + ": " + e.getMessage());
+      node.close();
+      // Not by way of the shutdown hook: there is nothing to drain.
+      Runtime.getRuntime().halt(1);
+    }
     node.drained.await();
     return 0;
   }
@@ -163,10 +166,19 @@
     }
   }
 
-  /** Listens; returns the address. */
+  /** Prepares and listens; returns the address. */
   InetSocketAddress start() throws IOException, InterruptedException {
+    prepare();
+    return listen();
+  }
+
+  /** Gets ready for requests. */
+  private void prepare() throws InterruptedException {
     Warmup.run(config, loop, allocator, log);
     loop.submit(() -> dispatcher.start(config.known())).await();
+  }
+
+  private InetSocketAddress listen() throws IOException, InterruptedException {
     var bound =
         new ServerBootstrap()
             .group(loop)
@@ -221,7 +233,7 @@
     long answered = (long) (config.longestDeadline() * 1e3) + KILL_MILLIS - ANSWERED_MILLIS;
     loop.execute(
         () -> dispatcher.answerBy(System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(answered)));
-    loop.schedule(() -> listener.close(), ACCEPT_MILLIS, TimeUnit.MILLISECONDS);
+    loop.schedule(this::stopAccepting, ACCEPT_MILLIS, TimeUnit.MILLISECONDS);
     loop.schedule(
         () -> {
           log.line("draining " + clients.size() + " client connections");
@@ -237,6 +249,12 @@
     }
   }
 
+  private void stopAccepting() {
+    if (listener != null) {
+      listener.close();
+    }
+  }
+
   /** Ends at once. */
   @Override
   public void close() {
