Let one connection turned down cost one connection

Change: the cap gives way by one, never below what is alive, and comes back by one every 2 s. What waited goes behind what works without further connections.

The test over loopback sockets fails without the change (no further connection within 20 s).

--- a/src/main/java/beamspread/node/ServerPool.java
+++ b/src/main/java/beamspread/node/ServerPool.java
@@ -11,8 +11,8 @@
 
 /** This node's connections to one cache server. */
 final class ServerPool {
-  /** How long a number of connections that a server turned down is kept to. */
-  private static final long CAPPED_NANOS = 30_000_000_000L;
+  /** How long after a server turned a connection down one more is tried again. */
+  private static final long CAPPED_NANOS = 2_000_000_000L;
 
   /**
    * What bounds the connections to each server.
@@ -81,12 +81,7 @@
    * is none, opens one more; at the limit, writes it behind the fewest others.
    */
   void send(Attempt attempt) {
-    ServerConnection best = null;
-    for (ServerConnection connection : connections) {
-      if (connection.load() < limits.depth() && connection.preferredTo(best)) {
-        best = connection;
-      }
-    }
+    ServerConnection best = best();
     if (best != null && best.load() == 0) {
       best.write(attempt);
       return;
@@ -107,9 +102,28 @@
     }
   }
 
+  /** The connection that an attempt is best written to now; null if there is none for it. */
+  private ServerConnection best() {
+    ServerConnection best = null;
+    for (ServerConnection connection : connections) {
+      if (connection.load() < limits.depth() && connection.preferredTo(best)) {
+        best = connection;
+      }
+    }
+    return best;
+  }
+
+  /**
+   * How many connections the server takes, as far as is known: one fewer for each that it turned
+   * down, and one more for a while without. Guards against a network that breaks new connections
+   * now and then: taken for the server's limit, a few of those would put all requests on one
+   * connection, where they wait for one another and a single reset ends them all. Where the limit
+   * is real, a connection is turned down every so often for nothing.
+   */
   private int cap() {
-    if (cap < limits.connections() && System.nanoTime() - cappedAt > CAPPED_NANOS) {
-      cap = limits.connections();
+    while (cap < limits.connections() && System.nanoTime() - cappedAt > CAPPED_NANOS) {
+      cap++;
+      cappedAt += CAPPED_NANOS;
     }
     return cap;
   }
@@ -153,21 +167,24 @@
     if (silent) {
       suspectSilence(began);
     }
-    boolean usable = connections.stream().anyMatch(c -> c.load() < limits.depth());
+    boolean usable = best() != null;
     if (usable) {
-      cap = Math.max(1, live());
+      cap = Math.max(Math.max(1, live()), cap() - 1);
       cappedAt = System.nanoTime();
     } else if (connecting > 0) {
       return;
     }
-    if (usable) {
-      sendAgain();
-      return;
-    }
     List<Attempt> stranded = new ArrayList<>(waiting);
     waiting.clear();
     for (Attempt attempt : stranded) {
-      dispatcher.ended(attempt, Outcome.Result.CONNECT_FAILED);
+      ServerConnection best = best();
+      if (best != null) {
+        best.write(attempt);
+      } else if (usable) {
+        send(attempt);
+      } else {
+        dispatcher.ended(attempt, Outcome.Result.CONNECT_FAILED);
+      }
     }
   }
 
--- a/src/test/java/beamspread/node/NodeTest.java
+++ b/src/test/java/beamspread/node/NodeTest.java
@@ -185,6 +185,23 @@
     assertEquals("VA 1 Ob", client.line());
   }
 
+  @Test
+  void aConnectionTurnedDownIsNotTakenForTheLimit() throws Exception {
+    Peer client = rig.client();
+    client.write(NodeRig.get("a1", 20_000));
+    Peer cache = rig.acceptCache();
+    cache.line();
+    rig.cache.close();
+    client.write(NodeRig.get("a2", 20_000));
+    assertTrue(cache.line().startsWith("mg key v Oa2 "), "behind the first, as none else came up");
+    try (ServerSocket again = NodeRig.listen(rig.cache.getLocalPort())) {
+      client.write(NodeRig.get("a3", 20_000));
+      try (Peer other = new Peer(again.accept())) {
+        assertTrue(other.line().startsWith("mg key v Oa3 "));
+      }
+    }
+  }
+
   @Test
   void refusesAWriteWhoseConnectionBreaksBeforeItsLastByte() throws Exception {
     rig.close();
