Use no connection after a pause that breaks many

Change: each pool learns the share of connections that break by the length of the pause before, and takes a new one (closing the old) where it is over a quarter, until that was not seen for 10 s.

--- a/src/main/java/beamspread/node/ServerConnection.java
+++ b/src/main/java/beamspread/node/ServerConnection.java
@@ -42,6 +42,9 @@
 
   private boolean closed;
 
+  /** The pause before the request that is under way, -1 if it was none or is over. */
+  private long pause = -1;
+
   /** The id of the answer that came last, null if none did. */
   private String lastId;
 
@@ -91,9 +94,11 @@
 
   void write(Attempt attempt) {
     attempt.connection = this;
+    long now = System.nanoTime();
+    pause = underWay.isEmpty() ? now - usedAt : pause;
     underWay.add(attempt);
     awaited++;
-    usedAt = System.nanoTime();
+    usedAt = now;
     long millis = (attempt.deadlineNanos - usedAt + 999_999) / 1_000_000;
     ChannelFuture written =
         channel.writeAndFlush(attempt.request.command.encode(channel.alloc(), millis));
@@ -155,6 +160,7 @@
       return;
     }
     lastId = head.request.id();
+    rested(false);
     if (!head.over) {
       dispatcher.replied(head, reply, channel.alloc());
     }
@@ -167,6 +173,14 @@
     }
   }
 
+  /** The first request after a pause is answered, or its connection broke. */
+  private void rested(boolean broke) {
+    if (pause >= 0) {
+      pool.rested(pause, broke);
+      pause = -1;
+    }
+  }
+
   /**
    * All that has come is looked at: the connection may be used again. Guards against bytes right
    * behind an answer, which are nobody's and would be taken for the next request's: no request is
@@ -211,6 +225,9 @@
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
     closed = true;
+    if (!underWay.isEmpty() && !spoilt && !decoder.midway()) {
+      rested(true);
+    }
     for (Attempt attempt = underWay.poll(); attempt != null; attempt = underWay.poll()) {
       // Only a command whose last byte was not handed to the socket has provably not run.
       dispatcher.ended(
--- a/src/main/java/beamspread/node/ServerPool.java
+++ b/src/main/java/beamspread/node/ServerPool.java
@@ -30,6 +30,7 @@
   private final Dispatcher dispatcher;
   private final List<ServerConnection> connections = new ArrayList<>();
   private final ArrayDeque<Attempt> waiting = new ArrayDeque<>();
+  private final IdleRisk idleRisk = new IdleRisk();
   private SocketAddress address;
   private int connecting;
   private int cap;
@@ -105,7 +106,11 @@
   /** The connection that an attempt is best written to now; null if there is none for it. */
   private ServerConnection best() {
     ServerConnection best = null;
-    for (ServerConnection connection : connections) {
+    long now = System.nanoTime();
+    for (ServerConnection connection : List.copyOf(connections)) {
+      if (connection.load() == 0 && idleRisk.tooLong(now - connection.usedAt(), now)) {
+        connection.retire();
+      }
       if (connection.load() < limits.depth() && connection.preferredTo(best)) {
         best = connection;
       }
@@ -214,6 +219,11 @@
     stranded.forEach(this::send);
   }
 
+  /** A request was written after this pause, and its connection broke or brought an answer. */
+  void rested(long pause, boolean broke) {
+    idleRisk.seen(pause, broke, System.nanoTime());
+  }
+
   /** A connection is closed. */
   void closed(ServerConnection connection) {
     connections.remove(connection);
--- a/src/test/java/beamspread/node/NodeTest.java
+++ b/src/test/java/beamspread/node/NodeTest.java
@@ -202,6 +202,34 @@
     }
   }
 
+  @Test
+  void learnsThatPausesBreakConnections() throws Exception {
+    Peer client = rig.client();
+    String kept = null;
+    for (int i = 0; i < 100; i++) {
+      client.write(NodeRig.get("a" + i, 2000));
+      Peer cache = rig.acceptCache();
+      cache.line();
+      cache.write("VA 1 Oa" + i + "\r\nx\r\n");
+      assertEquals("VA 1 Oa" + i, client.line());
+      client.line();
+      // A pause is what it is about.
+      Thread.sleep(20);
+      client.write(NodeRig.get("b" + i, 2000));
+      kept = cache.line();
+      if (kept == null) {
+        Peer other = rig.acceptCache();
+        assertTrue(other.line().contains("Ob" + i + " "));
+        other.write("VA 1 Ob" + i + "\r\nx\r\n");
+        assertEquals("VA 1 Ob" + i, client.line());
+        return;
+      }
+      cache.reset();
+      assertEquals("SERVER_ERROR busy", client.line());
+    }
+    assertNull(kept, "requests go on being written after pauses");
+  }
+
   @Test
   void refusesAWriteWhoseConnectionBreaksBeforeItsLastByte() throws Exception {
     rig.close();
