Let idle clients give way where many hold connections

Counts of connections by standing: 123 idle and 5 owed, which is the third of 384 that clients may hold, with 60 requests a second: clients ask once and keep the connection some 2 s, so that the others have none to ask on. Then 1000 connections a second that send 'mn' and stay counted as used and pushed out the usual clients' (574 idle closed in a second), 300 to 500 more were turned away.

Change: from half of the places on those idle for 300 ms give way, longest first, from six tenths on those idle for 50 ms. A client that has asked for no key counts as unused; past a quarter of the places the unused give way first.

Both new tests fail without the change.

--- a/src/main/java/beamspread/node/ClientConnections.java
+++ b/src/main/java/beamspread/node/ClientConnections.java
@@ -21,7 +21,7 @@
 final class ClientConnections {
   /** What is due on a connection. */
   enum Standing {
-    /** Its first command has not begun. */
+    /** It has not asked for anything: its first request has not begun. */
     UNUSED,
     /** A command has begun, and no answer is owed. */
     MIDWAY,
@@ -42,9 +42,21 @@
   /** How long the last answers on a connection may take to go out. */
   private static final long MAX_CLOSING_NANOS = 1_000_000_000L;
 
-  /** A connection without a whole command gives way to new ones before those in use, from then. */
+  /** A connection between requests gives way where others crowd in, from then. */
   private static final long PROMPT_NANOS = 300_000_000L;
 
+  /** One that has asked for nothing does so from then: who connects to ask does so sooner. */
+  private static final long HESITANT_NANOS = 50_000_000L;
+
+  /** The part of all places for those; past it they give way first, in the order they came. */
+  private static final double HESITANT = 0.25;
+
+  /** The part of all places from which connections in use are so many that idle ones give way. */
+  private static final double CROWDED = 0.5;
+
+  /** The part from which they do so at once: clients may hold not many more. */
+  private static final double FULL = 0.6;
+
   private final int limit;
   private final Map<Standing, LinkedHashMap<ClientHandler, Long>> open =
       new EnumMap<>(Standing.class);
@@ -64,11 +76,10 @@
     if (size() < limit) {
       return true;
     }
-    ClientHandler spared = null;
-    for (Standing standing : List.of(Standing.MIDWAY, Standing.UNUSED, Standing.IDLE)) {
-      ClientHandler longest = longest(standing, now - PROMPT_NANOS);
-      spared = spared == null ? longest : spared;
-    }
+    boolean flood = open.get(Standing.UNUSED).size() > HESITANT * limit;
+    ClientHandler spared = longest(Standing.MIDWAY, now - PROMPT_NANOS);
+    spared = spared == null ? longest(Standing.UNUSED, flood ? now : now - HESITANT_NANOS) : spared;
+    spared = spared == null ? longest(Standing.IDLE, now - PROMPT_NANOS) : spared;
     spared = spared == null ? longest(Standing.UNUSED, now) : spared;
     if (spared != null) {
       spared.close();
@@ -91,7 +102,11 @@
     if (from != null) {
       open.get(from).remove(client);
     }
-    open.get(to).put(client, System.nanoTime());
+    long now = System.nanoTime();
+    open.get(to).put(client, now);
+    if (to == Standing.OWED) {
+      closeCrowding(now);
+    }
     if (draining && to == Standing.IDLE) {
       client.close();
     }
@@ -117,12 +132,31 @@
     expired(Standing.UNUSED, now - MAX_COMMAND_NANOS).forEach(ClientHandler::close);
     expired(Standing.MIDWAY, now - MAX_COMMAND_NANOS).forEach(ClientHandler::close);
     expired(Standing.IDLE, now - MAX_IDLE_NANOS).forEach(ClientHandler::close);
+    closeCrowding(now);
     expired(Standing.CLOSING, now - MAX_CLOSING_NANOS).forEach(ClientHandler::abort);
     for (ClientHandler client : expired(Standing.OWED, now)) {
       client.abortIfStalled(now);
     }
   }
 
+  /**
+   * Closes those idle longest while very many are in use, and sooner the more there are. Guards
+   * against clients that ask once and keep the connection: where all may hold but so many, the
+   * others find none to ask on. It also keeps places free for a rush. Does harm to clients that
+   * come back after a pause: they have to connect anew.
+   */
+  private void closeCrowding(long now) {
+    while (true) {
+      double inUse = open.get(Standing.IDLE).size() + open.get(Standing.OWED).size();
+      long patience = inUse > FULL * limit ? HESITANT_NANOS : PROMPT_NANOS;
+      ClientHandler longest = longest(Standing.IDLE, now - patience);
+      if (inUse <= CROWDED * limit || longest == null) {
+        return;
+      }
+      longest.close();
+    }
+  }
+
   private List<ClientHandler> expired(Standing standing, long before) {
     List<ClientHandler> expired = new ArrayList<>();
     for (var entry : open.get(standing).entrySet()) {
--- a/src/main/java/beamspread/node/ClientHandler.java
+++ b/src/main/java/beamspread/node/ClientHandler.java
@@ -155,7 +155,7 @@
       command.release();
       return;
     }
-    used = true;
+    used |= command.reply == null;
     Slot slot = new Slot();
     slots.add(slot);
     stand();
--- a/src/test/java/beamspread/node/ClientConnectionsTest.java
+++ b/src/test/java/beamspread/node/ClientConnectionsTest.java
@@ -49,6 +49,36 @@
     }
   }
 
+  @Test
+  void clientsThatAskForNothingGiveWayBeforeOneThatPauses() throws Exception {
+    try (NodeRig rig = new NodeRig(1, 128)) {
+      Peer usual = rig.client();
+      serveOne(rig, usual, "a1");
+      // A pause after which it would give way, were there no others.
+      Thread.sleep(400);
+      for (int i = 0; i < 128; i++) {
+        rig.client().write("mn\r\n");
+      }
+      serveOne(rig, usual, "a2");
+    }
+  }
+
+  @Test
+  void clientsThatAskOnceAndStayGiveWayWhereManyDo() throws Exception {
+    try (NodeRig rig = new NodeRig(1, 128)) {
+      long began = System.nanoTime();
+      List<Peer> clients = new ArrayList<>();
+      for (int i = 0; i < 40; i++) {
+        clients.add(rig.client());
+        serveOne(rig, clients.get(i), "a" + i);
+      }
+      assertTrue(clients.get(0).ended());
+      long millis = (System.nanoTime() - began) / 1_000_000;
+      assertTrue(millis < 3000, "closed after " + millis + " ms");
+      serveOne(rig, clients.get(39), "b");
+    }
+  }
+
   @Test
   void closesAClientThatSaysNothing() throws Exception {
     try (NodeRig rig = new NodeRig()) {
