Tell refused clients when to come back, where clients may be told

Change: the time in which what is open will be answered at the present rate, as measured, bounded by maxRetryAfter and spread by a quarter; none where the settings do not let clients be advised, nor before a rate is measured.

The test over loopback sockets fails without the change.

--- a/src/main/java/beamspread/policy/Balancer.java
+++ b/src/main/java/beamspread/policy/Balancer.java
@@ -267,10 +267,8 @@
       if (server == null) {
         return null;
       }
-      if (jump < p.localJumps && !server.entry.zone().equals(settings.zone())) {
-        continue;
-      }
-      if (!p.maySend(server, now, settings.limits()) || p.tried(server)) {
+      boolean remote = jump < p.localJumps && !server.entry.zone().equals(settings.zone());
+      if (remote || !p.maySend(server, now, settings.limits()) || p.tried(server)) {
         continue;
       }
       if (!panic && server.suspect()) {
@@ -281,10 +279,7 @@
         }
         continue;
       }
-      if (coldFull(now, server)) {
-        continue;
-      }
-      if (!server.keeps(now, p.keyHash, greatestShare)) {
+      if (coldFull(now, server) || !server.keeps(now, p.keyHash, greatestShare)) {
         continue;
       }
       int cap = LoadCap.cap(inFlight + 1, weight(server), totalWeight, settings.instances());
@@ -308,12 +303,10 @@
   private ServerHealth leastLoaded(double now, PendingRequest p, List<ServerHealth> among) {
     ServerHealth best = null;
     for (ServerHealth server : among) {
-      if (!p.maySend(server, now, settings.limits())
-          || (!panic && server.suspect() && !server.trialDue(now))
-          || coldFull(now, server)) {
-        continue;
-      }
-      if (best == null || server.inFlight < best.inFlight) {
+      if ((best == null || server.inFlight < best.inFlight)
+          && p.maySend(server, now, settings.limits())
+          && (panic || !server.suspect() || server.trialDue(now))
+          && !coldFull(now, server)) {
         best = server;
       }
     }
@@ -330,13 +323,25 @@
   /** The final answer of a request that no server answered. */
   private void answer(PendingRequest p) {
     if (p.out == 0 && p.mayRefuse()) {
-      actions.refuse(p.request.id(), 0);
+      actions.refuse(p.request.id(), advice());
     } else {
       actions.fail(p.request.id());
     }
     over(p);
   }
 
+  /**
+   * Seconds for which a refused client should stay away, 0 for no advice: until what is open is
+   * answered at the present rate. Guards against clients that come back at once, or together.
+   */
+  private double advice() {
+    if (!settings.limits().advisesRetry() || Double.isInfinite(answerRate)) {
+      return 0;
+    }
+    double clear = pending.size() / Math.max(1e-3, answerRate);
+    return Math.min(settings.limits().maxRetryAfter(), clear * (0.75 + random.nextDouble() / 2));
+  }
+
   /** The request has its final answer; its attempts may still be out. */
   private void over(PendingRequest p) {
     p.answered = true;
@@ -439,8 +444,7 @@
                       || outcome.result() == Result.FULL
                       || (ok && late && !hit))
                   && !singledOut(now, server));
-      List<PendingRequest> followers = guard.over(now, p, ok && !late, failed);
-      for (PendingRequest follower : followers) {
+      for (PendingRequest follower : guard.over(now, p, ok && !late, failed)) {
         if (follower.waiting && !follower.answered) {
           resume(now, follower);
         }
--- a/src/test/java/beamspread/node/NodeTest.java
+++ b/src/test/java/beamspread/node/NodeTest.java
@@ -202,6 +202,28 @@
     }
   }
 
+  @Test
+  void tellsARefusedClientWhenToComeBackWhereItMay() throws Exception {
+    rig.close();
+    rig =
+        new NodeRig(
+            """
+            ,"caps":{"attempts-cap":1,"parallel-tries":true,"multiplex":100,"conn-idle":60,\
+            "connect-timeout":0.15,"retry-after":true,"max-retry-after":0.4}""");
+    Peer client = rig.client();
+    client.write(NodeRig.get("a1", 2000));
+    Peer cache = rig.acceptCache();
+    cache.line();
+    cache.write("SERVER_ERROR busy\r\n");
+    assertEquals("SERVER_ERROR busy", client.line(), "nothing is measured yet");
+    // Rates are measured over a second.
+    Thread.sleep(1100);
+    client.write(NodeRig.get("a2", 2000));
+    cache.line();
+    cache.write("SERVER_ERROR busy\r\n");
+    assertEquals("SERVER_ERROR busy 400", client.line(), "nothing is answered: as long as it may");
+  }
+
   @Test
   void learnsThatPausesBreakConnections() throws Exception {
     Peer client = rig.client();
