Close each idle client once

One whose peer has just gone still stands among the idle until the event loop tells so, and its close changes nothing: the loop never ended.

Change: the clients to close are counted and listed first.

No test: a trial of one over loopback sockets passed with the fault too, as both ends would have to meet in one round of the event loop; it was left out.

--- a/src/main/java/beamspread/node/ClientConnections.java
+++ b/src/main/java/beamspread/node/ClientConnections.java
@@ -146,14 +146,20 @@
    * come back after a pause: they have to connect anew.
    */
   private void closeCrowding(long now) {
-    while (true) {
-      double inUse = open.get(Standing.IDLE).size() + open.get(Standing.OWED).size();
-      long patience = inUse > FULL * limit ? HESITANT_NANOS : PROMPT_NANOS;
-      ClientHandler longest = longest(Standing.IDLE, now - patience);
-      if (inUse <= CROWDED * limit || longest == null) {
-        return;
-      }
-      longest.close();
+    closeIdle(now - HESITANT_NANOS, FULL * limit);
+    closeIdle(now - PROMPT_NANOS, CROWDED * limit);
+  }
+
+  /**
+   * Closes those idle since then until no more than that are in use. One whose client has just gone
+   * still stands among them: each is closed once, and not looked at again.
+   */
+  private void closeIdle(long before, double most) {
+    double excess = open.get(Standing.IDLE).size() + open.get(Standing.OWED).size() - most;
+    if (excess > 0) {
+      expired(Standing.IDLE, before).stream()
+          .limit((long) Math.ceil(excess))
+          .forEach(ClientHandler::close);
     }
   }
 
