--- a/src/main/java/beamspread/model/Outcome.java
+++ b/src/main/java/beamspread/model/Outcome.java
@@ -8,6 +8,7 @@
  * @param server where it was sent
  * @param result how it ended
  * @param elapsed seconds since it was sent
+ * @param unheard how many of those this node stood still, and could hear of nothing
  * @param ended whether the request is over
  * @param note what the server says about its cache
  * @param load the server's load report, null if none came along
@@ -18,10 +19,47 @@
     long server,
     Result result,
     double elapsed,
+    double unheard,
     boolean ended,
     Note note,
     LoadReport load) {
 
+  /** How an attempt ended of which this node heard all the time. */
+  public Outcome(
+      String requestId,
+      int attempt,
+      long server,
+      Result result,
+      double elapsed,
+      boolean ended,
+      Note note,
+      LoadReport load) {
+    this(requestId, attempt, server, result, elapsed, 0, ended, note, load);
+  }
+
+  /** Seconds for which this node waited and listened: the rest was its own doing. */
+  public double waited() {
+    return Math.max(0, elapsed - unheard);
+  }
+
+  /**
+   * The part of the time since it was sent for which this node listened, from 0 to 1: what the
+   * server may be blamed for. 1 where the server itself answered.
+   */
+  public double attention() {
+    return result.fromServer() || elapsed <= 0 ? 1 : Math.min(1, waited() / elapsed);
+  }
+
+  /** Whether this node listened for most of that time: if not, silence says little of a server. */
+  public boolean heard() {
+    return attention() >= 0.5;
+  }
+
+  /** Whether nothing came in time, while this node listened. */
+  public boolean silent() {
+    return result == Result.TIMEOUT && heard();
+  }
+
   /** How an attempt, or a probe, can end. */
   public enum Result {
     OK(false, true),
--- a/src/main/java/beamspread/node/Attempt.java
+++ b/src/main/java/beamspread/node/Attempt.java
@@ -9,6 +9,9 @@
   final long server;
   final long sentAt = System.nanoTime();
 
+  /** How long the event loop had stood still in all when it was sent. */
+  final long stoodBefore;
+
   /** When this node stops waiting for it. */
   final long deadlineNanos;
 
@@ -26,11 +29,12 @@
   /** Whether its answer is no longer wanted, though it may still come on its connection. */
   boolean abandoned;
 
-  Attempt(OpenRequest request, int number, long server, long deadlineNanos) {
+  Attempt(OpenRequest request, int number, long server, long deadlineNanos, long stoodBefore) {
     this.request = request;
     this.number = number;
     this.server = server;
     this.deadlineNanos = deadlineNanos;
+    this.stoodBefore = stoodBefore;
   }
 
   /** Whether it belongs to the request of this id. */
--- a/src/main/java/beamspread/node/ClientConnections.java
+++ b/src/main/java/beamspread/node/ClientConnections.java
@@ -3,7 +3,6 @@
 import io.netty.channel.EventLoop;
 import java.util.ArrayList;
 import java.util.EnumMap;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -17,6 +16,10 @@
  * ones, halves of commands, connections kept for good. It also bounds what a flood of connections
  * costs. It could do harm where clients connect long before they ask, which the protocol's clients
  * do not.
+ *
+ * <p>How long a connection has stood so is measured in time in which the event loop listened, and
+ * none is ended between two requests while the kernel holds bytes of it: what a client sent while
+ * the node stood still is a request, however long ago the node heard of it last.
  */
 final class ClientConnections {
   /** What is due on a connection. */
@@ -30,7 +33,9 @@
     /** An answer is owed. */
     OWED,
     /** Nothing more is taken from it; the last answers are on their way. */
-    CLOSING
+    CLOSING,
+    /** All is answered, and its client has been told to leave: its own end closes it. */
+    LEAVING
   }
 
   /** How long a client may take for its first command, or over any command: it is owed 2 s. */
@@ -42,6 +47,12 @@
   /** How long the last answers on a connection may take to go out. */
   private static final long MAX_CLOSING_NANOS = 1_000_000_000L;
 
+  /** How long a client may take to leave once it is told to. */
+  private static final long MAX_LEAVING_NANOS = 250_000_000L;
+
+  /** Steps, a millisecond each, in which a drain lets its idle clients go, about. */
+  private static final int DRAIN_STEPS = 64;
+
   /** A connection between requests gives way where others crowd in, from then. */
   private static final long PROMPT_NANOS = 300_000_000L;
 
@@ -57,44 +68,51 @@
   /** The part from which they do so at once: clients may hold not many more. */
   private static final double FULL = 0.6;
 
+  /** Connections looked at for one that can give way; those with bytes to read can not. */
+  private static final int MAX_LOOKED_AT = 16;
+
   private final int limit;
+  private final LoopClock clock;
   private final Map<Standing, LinkedHashMap<ClientHandler, Long>> open =
       new EnumMap<>(Standing.class);
   private boolean draining;
   private Runnable whenEmpty;
 
   /** At most so many connections at once. */
-  ClientConnections(int limit) {
+  ClientConnections(int limit, LoopClock clock) {
     this.limit = limit;
+    this.clock = clock;
     for (Standing standing : Standing.values()) {
       open.put(standing, new LinkedHashMap<>());
     }
   }
 
-  /** Makes room for one more connection; false if every other is owed an answer. */
-  boolean admit(long now) {
+  /** Makes room for one more connection; false if no other can give way. */
+  boolean admit() {
     if (size() < limit) {
       return true;
     }
+    long now = clock.listened();
     boolean flood = open.get(Standing.UNUSED).size() > HESITANT * limit;
-    ClientHandler spared = longest(Standing.MIDWAY, now - PROMPT_NANOS);
-    spared = spared == null ? longest(Standing.UNUSED, flood ? now : now - HESITANT_NANOS) : spared;
-    spared = spared == null ? longest(Standing.IDLE, now - PROMPT_NANOS) : spared;
-    spared = spared == null ? longest(Standing.UNUSED, now) : spared;
-    if (spared != null) {
-      spared.close();
-    }
-    return spared != null;
+    return endLongest(Standing.LEAVING, now)
+        || endLongest(Standing.MIDWAY, now - PROMPT_NANOS)
+        || endLongest(Standing.UNUSED, flood ? now : now - HESITANT_NANOS)
+        || endLongest(Standing.IDLE, now - PROMPT_NANOS)
+        || endLongest(Standing.UNUSED, now);
   }
 
-  /** The connection that has stood so for longest, null if none has since the given time. */
-  private ClientHandler longest(Standing standing, long before) {
-    var first = open.get(standing).entrySet().iterator();
-    if (first.hasNext()) {
-      var entry = first.next();
-      return entry.getValue() - before <= 0 ? entry.getKey() : null;
+  /** Ends the connection that has stood so for longest, since the given time; false if none can. */
+  private boolean endLongest(Standing standing, long before) {
+    for (ClientHandler client : expired(standing, before, MAX_LOOKED_AT)) {
+      if (standing == Standing.LEAVING) {
+        client.abort();
+        return true;
+      }
+      if (client.endQuietly(true)) {
+        return true;
+      }
     }
-    return null;
+    return false;
   }
 
   /** A connection is open, or what is due on it has changed. */
@@ -102,13 +120,12 @@
     if (from != null) {
       open.get(from).remove(client);
     }
-    long now = System.nanoTime();
-    open.get(to).put(client, now);
+    open.get(to).put(client, clock.listened());
     if (to == Standing.OWED) {
-      closeCrowding(now);
+      closeCrowding();
     }
     if (draining && to == Standing.IDLE) {
-      client.close();
+      client.endQuietly(false);
     }
   }
 
@@ -127,25 +144,38 @@
     return size;
   }
 
-  /** Closes what has been of no use for too long. */
-  void sweep(long now) {
-    expired(Standing.UNUSED, now - MAX_COMMAND_NANOS).forEach(ClientHandler::close);
-    expired(Standing.MIDWAY, now - MAX_COMMAND_NANOS).forEach(ClientHandler::close);
-    expired(Standing.IDLE, now - MAX_IDLE_NANOS).forEach(ClientHandler::close);
-    closeCrowding(now);
-    expired(Standing.CLOSING, now - MAX_CLOSING_NANOS).forEach(ClientHandler::abort);
-    for (ClientHandler client : expired(Standing.OWED, now)) {
-      client.abortIfStalled(now);
+  /** Closes what has been of no use for too long. Not to be called while the loop is behind. */
+  void sweep() {
+    long now = clock.listened();
+    endAll(Standing.UNUSED, now - MAX_COMMAND_NANOS);
+    endAll(Standing.MIDWAY, now - MAX_COMMAND_NANOS);
+    endAll(Standing.IDLE, now - MAX_IDLE_NANOS);
+    closeCrowding();
+    abortAll(Standing.LEAVING, now - MAX_LEAVING_NANOS);
+    abortAll(Standing.CLOSING, now - MAX_CLOSING_NANOS);
+    for (ClientHandler client : expired(Standing.OWED, now, Integer.MAX_VALUE)) {
+      client.abortIfStalled();
     }
   }
 
+  private void endAll(Standing standing, long before) {
+    for (ClientHandler client : expired(standing, before, Integer.MAX_VALUE)) {
+      client.endQuietly(false);
+    }
+  }
+
+  private void abortAll(Standing standing, long before) {
+    expired(standing, before, Integer.MAX_VALUE).forEach(ClientHandler::abort);
+  }
+
   /**
    * Closes those idle longest while very many are in use, and sooner the more there are. Guards
    * against clients that ask once and keep the connection: where all may hold but so many, the
    * others find none to ask on. It also keeps places free for a rush. Does harm to clients that
    * come back after a pause: they have to connect anew.
    */
-  private void closeCrowding(long now) {
+  private void closeCrowding() {
+    long now = clock.listened();
     closeIdle(now - HESITANT_NANOS, FULL * limit);
     closeIdle(now - PROMPT_NANOS, CROWDED * limit);
   }
@@ -157,16 +187,17 @@
   private void closeIdle(long before, double most) {
     double excess = open.get(Standing.IDLE).size() + open.get(Standing.OWED).size() - most;
     if (excess > 0) {
-      expired(Standing.IDLE, before).stream()
-          .limit((long) Math.ceil(excess))
-          .forEach(ClientHandler::close);
+      for (ClientHandler client : expired(Standing.IDLE, before, (int) Math.ceil(excess))) {
+        client.endQuietly(true);
+      }
     }
   }
 
-  private List<ClientHandler> expired(Standing standing, long before) {
+  /** Those that have stood so since the given time, at most so many, longest first. */
+  private List<ClientHandler> expired(Standing standing, long before, int most) {
     List<ClientHandler> expired = new ArrayList<>();
     for (var entry : open.get(standing).entrySet()) {
-      if (entry.getValue() - before > 0) {
+      if (entry.getValue() - before > 0 || expired.size() == most) {
         break;
       }
       expired.add(entry.getKey());
@@ -186,14 +217,18 @@
   }
 
   /**
-   * Closes idle connections one by one. Guards against requests that come while others are being
-   * closed and would stay unread until their own connection is: between two closes the event loop
-   * reads what has come.
+   * Ends idle connections one by one; one with bytes that wait to be read is ended after its
+   * answer. Guards against requests that come while others are being closed: between two closes the
+   * event loop reads what has come. The step grows with the number left, so that all are let go in
+   * time also where a pause has eaten into it.
    */
   private void closeNext(EventLoop loop) {
-    Iterator<ClientHandler> first = open.get(Standing.IDLE).keySet().iterator();
-    if (first.hasNext()) {
-      first.next().close();
+    int idle = open.get(Standing.IDLE).size();
+    if (idle > 0) {
+      for (ClientHandler client :
+          expired(Standing.IDLE, clock.listened(), 1 + idle / DRAIN_STEPS)) {
+        client.endQuietly(false);
+      }
       loop.schedule(() -> closeNext(loop), 1, TimeUnit.MILLISECONDS);
     }
   }
--- a/src/main/java/beamspread/node/ClientHandler.java
+++ b/src/main/java/beamspread/node/ClientHandler.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.DuplexChannel;
 import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.concurrent.TimeUnit;
@@ -33,19 +34,29 @@
   private static final long MAX_STALL_NANOS = 10_000_000_000L;
 
   private final Dispatcher dispatcher;
+  private final LoopClock clock;
   private final ClientConnections connections;
   private final MetaCommand.Decoder decoder;
   private final ArrayDeque<Slot> slots = new ArrayDeque<>();
   private Channel channel;
   private ClientConnections.Standing standing;
+  private boolean stalled;
   private long stalledSince;
+
+  /** Whether a command was left to be read to its end though its time was up. */
+  private boolean spared;
+
   private int errors;
   private boolean penalized;
   private boolean used;
   private boolean closing;
 
+  /** Whether all is answered and the sending end is closed, so that the client leaves. */
+  private boolean leaving;
+
   ClientHandler(Dispatcher dispatcher, ClientConnections connections, MetaCommand.Decoder decoder) {
     this.dispatcher = dispatcher;
+    this.clock = dispatcher.clock();
     this.connections = connections;
     this.decoder = decoder;
   }
@@ -100,7 +111,7 @@
   private void stand() {
     ClientConnections.Standing now =
         closing
-            ? ClientConnections.Standing.CLOSING
+            ? leaving ? ClientConnections.Standing.LEAVING : ClientConnections.Standing.CLOSING
             : !slots.isEmpty()
                 ? ClientConnections.Standing.OWED
                 : decoder.midway()
@@ -109,6 +120,7 @@
     if (now != standing && channel.isActive()) {
       ClientConnections.Standing before = standing;
       standing = now;
+      spared = false;
       connections.moved(this, before, now);
     }
   }
@@ -185,7 +197,8 @@
 
   @Override
   public void channelWritabilityChanged(ChannelHandlerContext ctx) {
-    stalledSince = channel.isWritable() ? 0 : System.nanoTime();
+    stalled = !channel.isWritable();
+    stalledSince = clock.listened();
     steer();
   }
 
@@ -224,14 +237,46 @@
     }
   }
 
+  /**
+   * Ends a connection on which no answer is owed, unless the kernel holds bytes of it that have not
+   * been read: then it is left alone, once for a command that has begun. Returns whether it ends.
+   *
+   * <p>Guards against losing a request that came while the node stood still, or was busy with
+   * others: an end with such bytes unread resets the connection. What is left is a request that
+   * arrives between that look and the next system call. Its client sees the end of the stream and
+   * no reset, since the receiving end stays open until it leaves: by the protocol it asks once more
+   * on another connection, which does no harm because the request is dropped unread.
+   *
+   * @param now whether its descriptor is wanted, so that the client is not waited for
+   */
+  boolean endQuietly(boolean now) {
+    if (closing) {
+      return false;
+    }
+    if (!spared && ClientListener.hasUnread(channel)) {
+      spared = standing == ClientConnections.Standing.MIDWAY;
+      return false;
+    }
+    if (now || !(channel instanceof DuplexChannel duplex) || !channel.isActive()) {
+      close();
+      return true;
+    }
+    closing = true;
+    leaving = true;
+    stand();
+    // Once all is flushed: what is not would be dropped.
+    channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(done -> duplex.shutdownOutput());
+    return true;
+  }
+
   /** Closes the connection whatever has not gone out. */
   void abort() {
     channel.close();
   }
 
   /** Closes the connection of a client that has long read nothing of what waits for it. */
-  void abortIfStalled(long now) {
-    if (stalledSince != 0 && now - stalledSince > MAX_STALL_NANOS) {
+  void abortIfStalled() {
+    if (stalled && clock.listened() - stalledSince > MAX_STALL_NANOS) {
       abort();
     }
   }
--- /dev/null
+++ b/src/main/java/beamspread/node/ClientListener.java
@@ -0,0 +1,46 @@
+package beamspread.node;
+
+import io.netty.channel.Channel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.io.IOException;
+import java.nio.channels.SocketChannel;
+import java.util.List;
+
+/** Accepts clients on connections that can tell whether bytes wait on them. */
+final class ClientListener extends NioServerSocketChannel {
+  /** A client's connection. */
+  private static final class Connection extends NioSocketChannel {
+    Connection(Channel parent, SocketChannel socket) {
+      super(parent, socket);
+    }
+
+    private int unread() throws IOException {
+      return javaChannel().socket().getInputStream().available();
+    }
+  }
+
+  @Override
+  protected int doReadMessages(List<Object> accepted) throws Exception {
+    SocketChannel socket = javaChannel().accept();
+    if (socket == null) {
+      return 0;
+    }
+    accepted.add(new Connection(this, socket));
+    return 1;
+  }
+
+  /**
+   * Whether the kernel holds bytes of this connection that have not been read: asked of the kernel
+   * itself, so that it holds at this very moment, whatever the event loop has or has not done.
+   */
+  static boolean hasUnread(Channel channel) {
+    try {
+      return channel instanceof Connection connection
+          && connection.isActive()
+          && connection.unread() > 0;
+    } catch (IOException e) {
+      return false;
+    }
+  }
+}
--- a/src/main/java/beamspread/node/DiscoveryClient.java
+++ b/src/main/java/beamspread/node/DiscoveryClient.java
@@ -39,13 +39,15 @@
    */
   private static final long MAX_SILENCE_MILLIS = 4500;
 
-  private static final int CONNECT_TIMEOUT_MILLIS = 2000;
+  private static final long CONNECT_TIMEOUT_MILLIS = 2000;
   private static final long RETRY_MILLIS = 500;
 
   /** Longest line, for thousands of servers. */
   private static final int MAX_LINE = 4 << 20;
 
   private final EventLoop loop;
+  private final Timers timers;
+  private final LoopClock clock;
   private InetSocketAddress address;
   private final boolean asked;
   private final Dispatcher dispatcher;
@@ -54,11 +56,15 @@
 
   DiscoveryClient(
       EventLoop loop,
+      Timers timers,
+      LoopClock clock,
       InetSocketAddress address,
       boolean asked,
       long version,
       Dispatcher dispatcher) {
     this.loop = loop;
+    this.timers = timers;
+    this.clock = clock;
     this.address = address;
     this.asked = asked;
     this.version = version;
@@ -118,7 +124,7 @@
     private final boolean follows;
     private final ByteBuf line = Unpooled.buffer();
     private final Channel channel;
-    private long heardAt = System.nanoTime();
+    private long heardAt = clock.listened();
     private boolean over;
 
     Call(boolean follows) {
@@ -127,7 +133,7 @@
           new Bootstrap()
               .group(loop)
               .channel(NioSocketChannel.class)
-              .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+              .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 0)
               .handler(
                   new ChannelInitializer<>() {
                     @Override
@@ -137,8 +143,11 @@
                   });
       var connected = bootstrap.connect(address);
       channel = connected.channel();
+      Timers.Timer patience =
+          timers.afterListening(CONNECT_TIMEOUT_MILLIS * 1_000_000, channel::close);
       connected.addListener(
           done -> {
+            patience.cancel();
             if (done.isSuccess()) {
               ask();
             } else {
@@ -161,19 +170,24 @@
       channel.writeAndFlush(request);
     }
 
-    /** Guards against discovery falling silent, where its connections stay open. */
+    /**
+     * Guards against discovery falling silent, where its connections stay open. Time in which this
+     * node did not listen is not held against it.
+     */
     private void listen() {
-      loop.schedule(
+      timers.afterListening(
+          MAX_SILENCE_MILLIS / 8 * 1_000_000,
           () -> {
-            long silent = (System.nanoTime() - heardAt) / 1_000_000;
+            long silent = (clock.listened() - heardAt) / 1_000_000;
+            if (over) {
+              return;
+            }
             if (silent >= MAX_SILENCE_MILLIS) {
               fail("silent");
-            } else if (!over) {
+            } else {
               listen();
             }
-          },
-          MAX_SILENCE_MILLIS / 8,
-          TimeUnit.MILLISECONDS);
+          });
     }
 
     @Override
@@ -182,7 +196,8 @@
       if (over) {
         return;
       }
-      heardAt = System.nanoTime();
+      clock.look();
+      heardAt = clock.listened();
       if (message.decoderResult().isFailure()) {
         fail("malformed answer");
         return;
--- a/src/main/java/beamspread/node/Dispatcher.java
+++ b/src/main/java/beamspread/node/Dispatcher.java
@@ -39,6 +39,7 @@
   }
 
   private final Clock clock = new Clock();
+  private final LoopClock loopClock;
   private final EventLoop loop;
   private final Timers timers;
   private final Settings settings;
@@ -56,16 +57,23 @@
   private boolean telling;
   private boolean rescuing;
 
-  Dispatcher(NodeConfig config, EventLoop loop, ServerPools pools, Log log) {
+  Dispatcher(NodeConfig config, EventLoop loop, LoopClock loopClock, ServerPools pools, Log log) {
     this.loop = loop;
+    this.loopClock = loopClock;
     this.settings = config.settings();
     this.log = log;
     this.pools = pools;
-    this.timers = new Timers(loop, log, tickNanos(settings));
+    this.timers = new Timers(loop, loopClock, log, tickNanos(settings));
     this.balancer = new Balancer(settings, config.seed(), this);
     this.discovery =
         new DiscoveryClient(
-            loop, config.discovery(), settings.asksForList(), config.known().version(), this);
+            loop,
+            timers,
+            loopClock,
+            config.discovery(),
+            settings.asksForList(),
+            config.known().version(),
+            this);
   }
 
   /** The simulator's tick where it is of use to a real clock. */
@@ -145,7 +153,7 @@
       command.release();
       return null;
     }
-    long now = System.nanoTime();
+    long now = loopClock.look();
     Request asked = command.request;
     if (ending) {
       asked = asked.within(Math.max(0, answerBy - now) / 1e9);
@@ -153,6 +161,17 @@
     Request taken = asked;
     OpenRequest request = new OpenRequest(command, slot, now + (long) (taken.budget() * 1e9));
     open.put(request.id(), request);
+    // Guards against deciding, right after a pause, on what was known before it, and against
+    // writing
+    // to connections whose end waits to be read.
+    loopClock.whenCaughtUp(() -> begin(request, taken));
+    return request;
+  }
+
+  private void begin(OpenRequest request, Request taken) {
+    if (request.ended) {
+      return;
+    }
     tell(
         at -> {
           try {
@@ -162,7 +181,19 @@
             end(request, "SERVER_ERROR failed");
           }
         });
-    return request;
+  }
+
+  /** The node has stood still until now. */
+  void paused(long nanos) {
+    tell(now -> balancer.paused(nanos / 1e9));
+  }
+
+  LoopClock clock() {
+    return loopClock;
+  }
+
+  Timers timers() {
+    return timers;
   }
 
   /** From now on gives requests no more time than until then. */
@@ -200,7 +231,8 @@
       attempt.timeout.cancel();
     }
     OpenRequest request = attempt.request;
-    double elapsed = (System.nanoTime() - attempt.sentAt) / 1e9;
+    double elapsed = (loopClock.look() - attempt.sentAt) / 1e9;
+    double unheard = (loopClock.stood() - attempt.stoodBefore) / 1e9;
     tell(
         now -> {
           request.out--;
@@ -213,6 +245,7 @@
                     attempt.server,
                     result,
                     elapsed,
+                    unheard,
                     request.ended,
                     note,
                     load));
@@ -292,7 +325,8 @@
     long now = System.nanoTime();
     long latest = request.deadlineNanos - ANSWER_MARGIN_NANOS;
     long deadline = timeout == 0 ? latest : Math.min(latest, now + (long) (timeout * 1e9));
-    Attempt attempt = new Attempt(request, request.attempts.size(), server, deadline);
+    Attempt attempt =
+        new Attempt(request, request.attempts.size(), server, deadline, loopClock.stood());
     request.attempts.add(attempt);
     request.out++;
     if (request.ended || attempt.number >= settings.limits().maxAttempts() || latest - now <= 0) {
@@ -300,7 +334,7 @@
       return;
     }
     attempt.timeout = timers.by(deadline - now, () -> withdraw(attempt, Outcome.Result.TIMEOUT));
-    pools.send(attempt);
+    loopClock.whenCaughtUp(() -> pools.send(attempt));
   }
 
   /** Stops waiting for an attempt. */
--- /dev/null
+++ b/src/main/java/beamspread/node/LoopClock.java
@@ -0,0 +1,137 @@
+package beamspread.node;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * What the event loop knows of its own absence: how long it did not run, and whether it has read
+ * since what came meanwhile. Time is an argument, in nanoseconds of {@link System#nanoTime}.
+ *
+ * <p>The idea: a process that is stopped, or gets no processor, hears nothing while the clocks of
+ * the world run on and the kernel goes on receiving for it. Whoever measures a peer's silence by
+ * the wall then blames the peer for the loop's own pause. So the loop is made to turn at least once
+ * a {@link #BEAT_NANOS beat}, a longer gap between two looks at the clock is a pause, and two
+ * things follow. First, {@link #listened} stands still in a pause: silence is measured by it.
+ * Second, after a pause the loop is {@link #behind} until it has read all that waited; what judges
+ * peers, or answers requests whose time is over, waits for that by {@link #whenCaughtUp}.
+ *
+ * <p>Deadlines towards clients are not measured by it: their time runs on in a pause.
+ *
+ * <p>Guards against a node that closes connections with requests on them, and takes servers for
+ * dead, because its own core was given to others. Could do harm where turns are long for good, each
+ * taken for a pause: judging is put off by some turns then, and silence is found out later.
+ */
+final class LoopClock {
+  /** How long the loop sleeps at most while nothing happens. */
+  static final long BEAT_NANOS = 10_000_000L;
+
+  /** A gap between two looks at the clock is a pause from then on; a long turn is like one. */
+  static final long PAUSE_NANOS = 30_000_000L;
+
+  /**
+   * Turns after a pause in which all that waited should be read: one brings connections that wait
+   * to be accepted, the next what was sent on them. Bounds how long judging is put off where pauses
+   * follow one another, or more comes than can be read.
+   */
+  private static final int MAX_TURNS = 8;
+
+  /** Is told of each pause, as soon as the loop notices. */
+  interface Listener {
+    /** The loop has not run for so long, until now. */
+    void paused(long nanos);
+
+    /** A task that had waited for the loop to catch up has failed. */
+    void failed(RuntimeException cause);
+  }
+
+  private final List<Runnable> waiting = new ArrayList<>();
+  private final Listener listener;
+  private long seenAt;
+  private long stood;
+  private long pauses;
+  private int turnsLeft;
+  private boolean pausedInTurn;
+
+  LoopClock(long now, Listener listener) {
+    this.seenAt = now;
+    this.listener = listener;
+  }
+
+  /** Looks at the clock: notices a pause that has just ended. Returns the time given. */
+  long look(long now) {
+    long gap = now - seenAt;
+    seenAt = now;
+    if (gap > PAUSE_NANOS) {
+      stood += gap - BEAT_NANOS;
+      pauses++;
+      pausedInTurn = true;
+      if (turnsLeft == 0) {
+        turnsLeft = MAX_TURNS;
+      }
+      listener.paused(gap - BEAT_NANOS);
+    }
+    return now;
+  }
+
+  /** Looks at the clock now. */
+  long look() {
+    return look(System.nanoTime());
+  }
+
+  /** Nanoseconds in which the loop was there to listen, from an arbitrary start. */
+  long listened() {
+    return seenAt - stood;
+  }
+
+  /** Nanoseconds in all in which it was not. */
+  long stood() {
+    return stood;
+  }
+
+  /** How many pauses there were. */
+  long pauses() {
+    return pauses;
+  }
+
+  /** Whether there was a pause after which not all that waited has been read. */
+  boolean behind() {
+    return turnsLeft > 0;
+  }
+
+  /** Runs the task once all that waited has been read: at once where nothing did. */
+  void whenCaughtUp(Runnable task) {
+    if (behind()) {
+      waiting.add(task);
+    } else {
+      task.run();
+    }
+  }
+
+  /** The loop begins to look for what has come. */
+  void turnBegins(long now) {
+    look(now);
+    pausedInTurn = false;
+  }
+
+  /** The loop has read what had come on so many connections. */
+  void turnEnds(long now, int handled) {
+    look(now);
+    if (turnsLeft > 0) {
+      turnsLeft = handled == 0 && !pausedInTurn ? 0 : turnsLeft - 1;
+      if (turnsLeft == 0) {
+        List<Runnable> due = List.copyOf(waiting);
+        waiting.clear();
+        due.forEach(this::run);
+      }
+    }
+  }
+
+  /** Guards against a task that fails: the loop's own I/O would be taken for broken. */
+  private void run(Runnable task) {
+    try {
+      task.run();
+    } catch (RuntimeException e) {
+      listener.failed(e);
+    }
+  }
+}
--- a/src/main/java/beamspread/node/Node.java
+++ b/src/main/java/beamspread/node/Node.java
@@ -11,7 +11,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -50,6 +49,12 @@
   /** Connections to one server, over all nodes together, that this tier opens of itself. */
   private static final int TIER_CONNECTIONS = 28;
 
+  /** The steps in which a drain waits for its end. */
+  private static final long DRAIN_STEP_MILLIS = 50;
+
+  /** Pauses longer than this are worth a line in the log. */
+  private static final long TOLD_NANOS = 250_000_000L;
+
   /** How often connections are looked through for those that have been of no use for too long. */
   private static final long SWEEP_MILLIS = 100;
 
@@ -57,6 +62,7 @@
   private final Log log = new Log();
   private final MultiThreadIoEventLoopGroup group;
   private final EventLoop loop;
+  private final LoopClock clock;
   private final ClientConnections clients;
   private final ServerPools pools;
   private final Dispatcher dispatcher;
@@ -73,10 +79,13 @@
   /** A node that opens so many connections to each server. */
   Node(NodeConfig config, int connections) {
     this.config = config;
-    group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    clock = new LoopClock(System.nanoTime(), new Pauses());
+    group =
+        new MultiThreadIoEventLoopGroup(
+            1, WatchedIoHandler.factory(NioIoHandler.newFactory(), clock));
     loop = group.next();
     classes = config.classes();
-    clients = new ClientConnections((int) (config.sockets() * CLIENT_SHARE));
+    clients = new ClientConnections((int) (config.sockets() * CLIENT_SHARE), clock);
     values = new MemoryBudget((long) config.memoryMb() << 18);
     PooledByteBufAllocator allocator =
         new PooledByteBufAllocator(true, 0, 1, 8192, 6, 64, 16, true);
@@ -86,14 +95,28 @@
             .channel(NioSocketChannel.class)
             .option(ChannelOption.ALLOCATOR, allocator)
             .option(ChannelOption.TCP_NODELAY, true)
-            .option(
-                ChannelOption.CONNECT_TIMEOUT_MILLIS,
-                (int) Math.max(1, config.settings().limits().connectTimeout() * 1e3));
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 0);
     pools = new ServerPools(bootstrap, serverLimits(connections));
-    dispatcher = new Dispatcher(config, loop, pools, log);
+    dispatcher = new Dispatcher(config, loop, clock, pools, log);
     this.allocator = allocator;
   }
 
+  /** Tells of the loop's pauses. */
+  private final class Pauses implements LoopClock.Listener {
+    @Override
+    public void paused(long nanos) {
+      if (nanos > TOLD_NANOS) {
+        log.line("stood still for " + nanos / 1_000_000 + " ms");
+      }
+      dispatcher.paused(nanos);
+    }
+
+    @Override
+    public void failed(RuntimeException cause) {
+      log.failure("after a pause", cause);
+    }
+  }
+
   private final PooledByteBufAllocator allocator;
 
   private ServerPool.Limits serverLimits(int connections) {
@@ -104,7 +127,8 @@
         // Where a request may not have two attempts out, one that is given up must be off its
         // connection before the next goes out: nothing may share it.
         limits.parallelAttempts() ? Math.max(1, limits.perConnection()) : 1,
-        (long) (Math.max(1, limits.idleTimeout() / 2) * 1e9));
+        (long) (Math.max(1, limits.idleTimeout() / 2) * 1e9),
+        (long) (Math.max(0.001, limits.connectTimeout()) * 1e9));
   }
 
   /** Runs a node until it is told to end; returns the exit code. */
@@ -174,7 +198,7 @@
 
   /** Gets ready for requests. */
   private void prepare() throws InterruptedException {
-    Warmup.run(config, loop, allocator, log);
+    Warmup.run(config, loop, clock, allocator, log);
     loop.submit(() -> dispatcher.start(config.known())).await();
   }
 
@@ -182,7 +206,7 @@
     var bound =
         new ServerBootstrap()
             .group(loop)
-            .channel(NioServerSocketChannel.class)
+            .channelFactory(ClientListener::new)
             .option(ChannelOption.SO_BACKLOG, 1024)
             .childOption(ChannelOption.ALLOCATOR, allocator)
             .childOption(ChannelOption.TCP_NODELAY, true)
@@ -201,12 +225,19 @@
       throw new IOException(bound.cause().getMessage());
     }
     listener = bound.channel();
-    loop.scheduleAtFixedRate(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+    loop.scheduleWithFixedDelay(
+        () -> {
+          clock.look();
+          clock.whenCaughtUp(this::sweep);
+        },
+        SWEEP_MILLIS,
+        SWEEP_MILLIS,
+        TimeUnit.MILLISECONDS);
     return (InetSocketAddress) listener.localAddress();
   }
 
   private void accept(Channel channel) {
-    if (!clients.admit(System.nanoTime())) {
+    if (!clients.admit()) {
       channel.close();
       return;
     }
@@ -215,10 +246,9 @@
   }
 
   private void sweep() {
-    long now = System.nanoTime();
-    clients.sweep(now);
-    pools.closeStale(now);
-    pools.closeStalled(now);
+    clients.sweep();
+    pools.closeStale(clock.look());
+    pools.closeStalled();
   }
 
   /**
@@ -242,19 +272,37 @@
         Math.max(ACCEPT_MILLIS, answered - RELEASE_MILLIS),
         TimeUnit.MILLISECONDS);
     try {
-      boolean whole = drained.await(answered + LINGER_MILLIS, TimeUnit.MILLISECONDS);
+      boolean whole = awaitDrained(answered + LINGER_MILLIS);
       log.line(whole ? "drained" : "not drained in time, " + clients.size() + " left");
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
   }
 
+  /**
+   * Waits for so long in which the process runs; false if not all was answered by then. Guards
+   * against a pause that outlasts the wait: what the node had taken would go unanswered, though
+   * there is time for it. The steps are counted, and a pause takes one of them.
+   */
+  private boolean awaitDrained(long millis) throws InterruptedException {
+    for (long left = millis; left > 0; left -= DRAIN_STEP_MILLIS) {
+      if (drained.await(DRAIN_STEP_MILLIS, TimeUnit.MILLISECONDS)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   private void stopAccepting() {
     if (listener != null) {
       listener.close();
     }
   }
 
+  EventLoop loop() {
+    return loop;
+  }
+
   /** Ends at once. */
   @Override
   public void close() {
--- a/src/main/java/beamspread/node/ServerConnection.java
+++ b/src/main/java/beamspread/node/ServerConnection.java
@@ -23,10 +23,15 @@
   private final Dispatcher dispatcher;
   private final MetaReply.Decoder decoder = new MetaReply.Decoder();
   private final ArrayDeque<Attempt> underWay = new ArrayDeque<>();
-  private final long openedAt = System.nanoTime();
+  private final LoopClock clock;
+  private final long openedAt;
   private Channel channel;
-  private long heardAt = openedAt;
-  private long usedAt = openedAt;
+  private long heardAt;
+
+  /** When it was heard from last, in time in which the event loop listened. */
+  private long listenedAt;
+
+  private long usedAt;
 
   /** Whether it gets nothing more and closes once nobody waits for what is under way. */
   private boolean retiring;
@@ -51,6 +56,15 @@
   ServerConnection(ServerPool pool, Dispatcher dispatcher) {
     this.pool = pool;
     this.dispatcher = dispatcher;
+    clock = dispatcher.clock();
+    openedAt = clock.look();
+    usedAt = openedAt;
+    heard();
+  }
+
+  private void heard() {
+    heardAt = clock.look();
+    listenedAt = clock.listened();
   }
 
   ChannelFuture open(Bootstrap bootstrap, SocketAddress address) {
@@ -94,7 +108,7 @@
 
   void write(Attempt attempt) {
     attempt.connection = this;
-    long now = System.nanoTime();
+    long now = clock.look();
     pause = underWay.isEmpty() ? now - usedAt : pause;
     underWay.add(attempt);
     awaited++;
@@ -133,7 +147,7 @@
 
   @Override
   public void channelRead(ChannelHandlerContext ctx, Object message) {
-    heardAt = System.nanoTime();
+    heard();
     reading = true;
     MetaReply reply = (MetaReply) message;
     try {
@@ -167,7 +181,7 @@
     if (!underWay.poll().abandoned) {
       awaited--;
     }
-    usedAt = System.nanoTime();
+    usedAt = clock.look();
     if (retiring) {
       retire();
     }
@@ -188,7 +202,7 @@
    */
   @Override
   public void channelReadComplete(ChannelHandlerContext ctx) {
-    heardAt = System.nanoTime();
+    heard();
     reading = false;
     if (underWay.isEmpty() && decoder.midway()) {
       spoil("bytes behind the last reply");
@@ -216,8 +230,8 @@
    * that are too great, behind which all else on the connection would wait until its time is up.
    * Harms a server that pauses within an answer for longer.
    */
-  void closeIfStalled(long now) {
-    if (decoder.midway() && now - heardAt > MAX_PAUSE_NANOS) {
+  void closeIfStalled() {
+    if (decoder.midway() && clock.listened() - listenedAt > MAX_PAUSE_NANOS) {
       spoil("a reply that does not end");
     }
   }
--- a/src/main/java/beamspread/node/ServerPool.java
+++ b/src/main/java/beamspread/node/ServerPool.java
@@ -3,8 +3,8 @@
 import beamspread.model.Outcome;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ConnectTimeoutException;
 import java.net.SocketAddress;
+import java.nio.channels.ClosedChannelException;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
@@ -21,14 +21,16 @@
    * @param total how many it opens to all servers together, but for the first to each
    * @param depth how many attempts may be under way on one
    * @param idleNanos how long one is kept that is not in use
+   * @param connectNanos how long one may take to come up, while the event loop listens
    */
-  record Limits(int connections, int total, int depth, long idleNanos) {}
+  record Limits(int connections, int total, int depth, long idleNanos, long connectNanos) {}
 
   private final Bootstrap bootstrap;
   private final Limits limits;
   private final ConnectionBudget budget;
   private final Dispatcher dispatcher;
   private final List<ServerConnection> connections = new ArrayList<>();
+  private final LoopClock clock;
   private final ArrayDeque<Attempt> waiting = new ArrayDeque<>();
   private final IdleRisk idleRisk = new IdleRisk();
   private SocketAddress address;
@@ -47,6 +49,7 @@
     this.limits = limits;
     this.budget = budget;
     this.dispatcher = dispatcher;
+    this.clock = dispatcher.clock();
     this.address = address;
     this.cap = limits.connections();
   }
@@ -58,7 +61,7 @@
   void listed(SocketAddress at, double startedAt, double now) {
     boolean moved = !at.equals(address);
     address = at;
-    long started = System.nanoTime() - (long) (Math.max(0, now - startedAt) * 1e9);
+    long started = clock.look() - (long) (Math.max(0, now - startedAt) * 1e9);
     for (ServerConnection connection : List.copyOf(connections)) {
       if (moved || (startedAt > 0 && connection.openedAt() - started < 0)) {
         connection.retire();
@@ -106,7 +109,7 @@
   /** The connection that an attempt is best written to now; null if there is none for it. */
   private ServerConnection best() {
     ServerConnection best = null;
-    long now = System.nanoTime();
+    long now = clock.look();
     for (ServerConnection connection : List.copyOf(connections)) {
       if (connection.load() == 0 && idleRisk.tooLong(now - connection.usedAt(), now)) {
         connection.retire();
@@ -126,7 +129,7 @@
    * is real, a connection is turned down every so often for nothing.
    */
   private int cap() {
-    while (cap < limits.connections() && System.nanoTime() - cappedAt > CAPPED_NANOS) {
+    while (cap < limits.connections() && clock.look() - cappedAt > CAPPED_NANOS) {
       cap++;
       cappedAt += CAPPED_NANOS;
     }
@@ -140,12 +143,17 @@
   private void connect() {
     connecting++;
     budget.take();
-    long began = System.nanoTime();
+    long began = clock.look();
     SocketAddress at = address;
     ServerConnection connection = new ServerConnection(this, dispatcher);
     ChannelFuture future = connection.open(bootstrap, address);
+    // Not by the bootstrap's own time-out: after a pause it may come before what has come up is
+    // looked at, and a server that runs would be taken for one that has vanished.
+    Timers.Timer patience =
+        dispatcher.timers().afterListening(limits.connectNanos(), future.channel()::close);
     future.addListener(
         done -> {
+          patience.cancel();
           connecting--;
           if (done.isSuccess()) {
             connections.add(connection);
@@ -158,7 +166,8 @@
             }
           } else {
             budget.release();
-            connectFailed(began, done.cause() instanceof ConnectTimeoutException);
+            // Nobody else closes a connection that has not come up.
+            connectFailed(began, done.cause() instanceof ClosedChannelException);
           }
         });
   }
@@ -175,7 +184,7 @@
     boolean usable = best() != null;
     if (usable) {
       cap = Math.max(Math.max(1, live()), cap() - 1);
-      cappedAt = System.nanoTime();
+      cappedAt = clock.look();
     } else if (connecting > 0) {
       return;
     }
@@ -221,7 +230,7 @@
 
   /** A request was written after this pause, and its connection broke or brought an answer. */
   void rested(long pause, boolean broke) {
-    idleRisk.seen(pause, broke, System.nanoTime());
+    idleRisk.seen(pause, broke, clock.look());
   }
 
   /** A connection is closed. */
@@ -250,9 +259,9 @@
   }
 
   /** Closes connections on which a reply began and does not go on. */
-  void closeStalled(long now) {
+  void closeStalled() {
     for (ServerConnection connection : List.copyOf(connections)) {
-      connection.closeIfStalled(now);
+      connection.closeIfStalled();
     }
   }
 
--- a/src/main/java/beamspread/node/ServerPools.java
+++ b/src/main/java/beamspread/node/ServerPools.java
@@ -47,6 +47,9 @@
   }
 
   void send(Attempt attempt) {
+    if (attempt.over) {
+      return;
+    }
     ServerPool pool = pools.get(attempt.server);
     if (pool == null) {
       dispatcher.ended(attempt, Outcome.Result.CONNECT_FAILED);
@@ -75,9 +78,9 @@
   }
 
   /** Closes connections on which a reply began and does not go on. */
-  void closeStalled(long now) {
+  void closeStalled() {
     for (ServerPool pool : pools.values()) {
-      pool.closeStalled(now);
+      pool.closeStalled();
     }
   }
 
--- a/src/main/java/beamspread/node/Timers.java
+++ b/src/main/java/beamspread/node/Timers.java
@@ -14,6 +14,7 @@
  */
 final class Timers {
   private final EventLoop loop;
+  private final LoopClock clock;
   private final Log log;
   private final long tickNanos;
   private final long start = System.nanoTime();
@@ -21,8 +22,9 @@
   private long armedFor = Long.MAX_VALUE;
   private Future<?> armed;
 
-  Timers(EventLoop loop, Log log, long tickNanos) {
+  Timers(EventLoop loop, LoopClock clock, Log log, long tickNanos) {
     this.loop = loop;
+    this.clock = clock;
     this.log = log;
     this.tickNanos = tickNanos;
   }
@@ -50,6 +52,31 @@
     return at(-Math.floorDiv(-(System.nanoTime() - start + delayNanos), tickNanos), task);
   }
 
+  /**
+   * Runs the task once the event loop has been there to listen for so long: for what says of a peer
+   * that it has been silent.
+   */
+  Timer afterListening(long nanos, Runnable task) {
+    Timer timer = new Timer(task);
+    listen(clock.listened() + nanos, timer);
+    return timer;
+  }
+
+  private void listen(long until, Timer timer) {
+    after(
+        until - clock.listened(),
+        () -> {
+          if (timer.task == null) {
+            return;
+          }
+          if (clock.listened() - until < 0) {
+            listen(until, timer);
+          } else {
+            timer.task.run();
+          }
+        });
+  }
+
   private Timer at(long tick, Runnable task) {
     Timer timer = new Timer(task);
     due.computeIfAbsent(tick, t -> new ArrayList<>()).add(timer);
@@ -66,10 +93,19 @@
       if (armed != null) {
         armed.cancel(false);
       }
-      armed = loop.schedule(this::run, Math.max(0, delay), TimeUnit.NANOSECONDS);
+      armed = loop.schedule(this::alarm, Math.max(0, delay), TimeUnit.NANOSECONDS);
     }
   }
 
+  /**
+   * Something is due. Guards against deciding that time is up, after a pause, on what came in time
+   * and has not been read: that is read first.
+   */
+  private void alarm() {
+    clock.look();
+    clock.whenCaughtUp(this::run);
+  }
+
   private void run() {
     long now = (System.nanoTime() - start) / tickNanos;
     armedFor = Long.MAX_VALUE;
--- a/src/main/java/beamspread/node/Warmup.java
+++ b/src/main/java/beamspread/node/Warmup.java
@@ -45,7 +45,8 @@
 
   private Warmup() {}
 
-  static void run(NodeConfig config, EventLoop loop, ByteBufAllocator allocator, Log log)
+  static void run(
+      NodeConfig config, EventLoop loop, LoopClock clock, ByteBufAllocator allocator, Log log)
       throws InterruptedException {
     String folder = System.getenv("TMPDIR");
     List<Channel> channels = new ArrayList<>();
@@ -62,7 +63,7 @@
       var caches = UnixDomainSocketAddress.of(files.get(0));
       var front = UnixDomainSocketAddress.of(files.get(1));
       channels.add(listen(loop, allocator, caches, channel -> serveAsCache(channel, config)));
-      Dispatcher dispatcher = dispatcher(config, loop, allocator, log);
+      Dispatcher dispatcher = dispatcher(config, loop, clock, allocator, log);
       List<MemberList.Member> members = new ArrayList<>();
       for (int i = 0; i < SERVERS; i++) {
         members.add(
@@ -71,7 +72,7 @@
                 caches));
       }
       loop.submit(() -> dispatcher.list(new MemberList(true, 1, members))).await();
-      ClientConnections clients = new ClientConnections(AT_ONCE);
+      ClientConnections clients = new ClientConnections(AT_ONCE, clock);
       MemoryBudget values = new MemoryBudget(1 << 20);
       channels.add(
           listen(
@@ -139,7 +140,7 @@
 
   /** A dispatcher of its own, which asks nobody for the list of servers. */
   private static Dispatcher dispatcher(
-      NodeConfig config, EventLoop loop, ByteBufAllocator allocator, Log log) {
+      NodeConfig config, EventLoop loop, LoopClock clock, ByteBufAllocator allocator, Log log) {
     Settings s = config.settings();
     Settings pushed =
         new Settings(
@@ -174,8 +175,10 @@
             .option(ChannelOption.ALLOCATOR, allocator);
     ServerPools pools =
         new ServerPools(
-            bootstrap, new ServerPool.Limits(2, 2 * SERVERS, 2, TimeUnit.MINUTES.toNanos(1)));
-    return new Dispatcher(own, loop, pools, log);
+            bootstrap,
+            new ServerPool.Limits(
+                2, 2 * SERVERS, 2, TimeUnit.MINUTES.toNanos(1), TimeUnit.SECONDS.toNanos(1)));
+    return new Dispatcher(own, loop, clock, pools, log);
   }
 
   private static void serveAsCache(Channel channel, NodeConfig config) {
--- a/src/main/java/beamspread/policy/Balancer.java
+++ b/src/main/java/beamspread/policy/Balancer.java
@@ -151,9 +151,15 @@
     // their own, and one for each server is always fair.
     int busy = inFlight - guard.inFlight();
     boolean hopeless = busy > ready.size() && busy > answerRate * type.aim();
-    if (hopeless || !dispatch(now, p)) {
-      giveUp(p);
+    if (!hopeless) {
+      dispatch(now, p);
     }
+    giveUp(p);
+  }
+
+  /** The node stood still for so many seconds until now: no rate is measured over those. */
+  public void paused(double seconds) {
+    rateAt += seconds;
   }
 
   /**
@@ -177,35 +183,33 @@
     p.firstHome = p.homes > 1 ? random.nextInt(p.homes) * (local ? (int) zones : 1) : 0;
   }
 
-  /** Sends an attempt by the ordinary path; false if no server may take it. */
-  private boolean dispatch(double now, PendingRequest p) {
+  /** Sends an attempt by the ordinary path, or holds it for a fetch, if a server may take it. */
+  private void dispatch(double now, PendingRequest p) {
     ServerHealth target = choose(now, p);
     if (target == null) {
-      return false;
+      return;
     }
     if (!settings.cache().aside() && p.request.key() != null && !p.request.write()) {
       long pair = OriginGuard.pair(p, target);
       if (guard.expectsMiss(now, pair)) {
-        boolean patient = !p.impatient;
-        boolean follows = patient && guard.follow(pair, p);
+        boolean follows = !p.impatient && guard.follow(pair, p);
         if (follows || guard.full(now)) {
-          if (!follows && patient) {
-            guard.park(p);
-          }
-          if (patient) {
-            hold(now, p);
+          if (!p.impatient) {
+            hold(now, p, follows);
           }
-          return patient;
+          return;
         }
         guard.started(now, pair, p, singledOut(now, target));
       }
     }
     send(now, p, target);
-    return true;
   }
 
   /** Holds a request for a fetch, for at most half of the time in which its answer is wanted. */
-  private void hold(double now, PendingRequest p) {
+  private void hold(double now, PendingRequest p, boolean follows) {
+    if (!follows) {
+      guard.park(p);
+    }
     p.waiting = true;
     actions.wake(p.serial + HOLD, Math.max(0, p.arrived + p.type.aim() / 2 - now));
   }
@@ -313,7 +317,7 @@
     return best;
   }
 
-  /** Answers a request that has no attempt out and gets no other. */
+  /** Answers a request that has no attempt out and is not held. */
   private void giveUp(PendingRequest p) {
     if (!p.answered && p.out == 0 && !p.waiting) {
       answer(p);
@@ -421,8 +425,8 @@
       return;
     }
     if (outcome.result() == Result.OK) {
-      server.strained(now, outcome.elapsed() / (FAIR_PART_OF_AIM * p.type.aim()), fair);
-    } else if (outcome.result() == Result.TIMEOUT || outcome.result() == Result.FULL) {
+      server.strained(now, outcome.waited() / (FAIR_PART_OF_AIM * p.type.aim()), fair);
+    } else if (outcome.silent() || outcome.result() == Result.FULL) {
       server.strained(now, 2, fair);
     }
   }
@@ -435,14 +439,12 @@
       guard.answered(now, OriginGuard.pair(p, server), outcome.note());
     }
     if (outcome.attempt() == p.fetchAttempt) {
-      boolean late = outcome.elapsed() > p.type.aim();
+      boolean late = outcome.waited() > p.type.aim();
       boolean hit = outcome.note() == Outcome.Note.HIT;
       // A strained server makes its fetches late or full by itself: that is no sign of the origin.
       boolean failed =
           outcome.result() == Result.ERROR
-              || ((outcome.result() == Result.TIMEOUT
-                      || outcome.result() == Result.FULL
-                      || (ok && late && !hit))
+              || ((outcome.silent() || outcome.result() == Result.FULL || (ok && late && !hit))
                   && !singledOut(now, server));
       for (PendingRequest follower : guard.over(now, p, ok && !late, failed)) {
         if (follower.waiting && !follower.answered) {
@@ -467,9 +469,8 @@
 
   private void resume(double now, PendingRequest p) {
     p.waiting = false;
-    if (!dispatch(now, p)) {
-      giveUp(p);
-    }
+    dispatch(now, p);
+    giveUp(p);
   }
 
   private void next(double now, PendingRequest p, Outcome outcome) {
@@ -481,15 +482,12 @@
       ServerHealth origin = leastLoaded(now, p, origins);
       if (origin != null) {
         send(now, p, origin);
-        return;
       }
     } else if (outcome.result().broken()
         || (retryTokens >= 1 && (outcome.result() == Result.SPOILT || !guard.troubled()))) {
       // Not while fetches fail: a retry would be one more of them.
       retryTokens -= outcome.result().broken() ? 0 : 1;
-      if (dispatch(now, p)) {
-        return;
-      }
+      dispatch(now, p);
     }
     giveUp(p);
   }
--- a/src/main/java/beamspread/policy/ServerHealth.java
+++ b/src/main/java/beamspread/policy/ServerHealth.java
@@ -184,12 +184,13 @@
     // What was out when a connection broke tells of that break once more, and of nothing since.
     boolean fresh = now - outcome.elapsed() > brokenAt;
     boolean reset = result == Outcome.Result.RESET && fresh;
-    unserved = served ? 0 : unserved + (failed ? 1 : reset ? RESET_COUNTS : 0);
+    // A server is not blamed for time in which this node did not listen.
+    unserved = served ? 0 : unserved + (failed ? outcome.attention() : reset ? RESET_COUNTS : 0);
     inFlight--;
     trialOut = false;
     boolean was = suspect();
     boolean held = (refused > 0 ? refusedAt : now) - connectedAt < idleTimeout;
-    if (result == Outcome.Result.CONNECT_FAILED && fresh) {
+    if (result == Outcome.Result.CONNECT_FAILED && fresh && outcome.heard()) {
       refusedAt = refused == 0 ? now : refusedAt;
       refused++;
     } else if (result.fromServer()) {
--- /dev/null
+++ b/src/test/java/beamspread/Fleet.java
@@ -0,0 +1,218 @@
+package beamspread;
+
+import java.io.BufferedInputStream;
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * Cache servers that answer at once and write down what they carried out, and the discovery service
+ * that lists them. A thread for each connection.
+ */
+final class Fleet implements Closeable {
+  private final ServerSocket[] servers;
+  private final ServerSocket discovery = listen();
+  private final AtomicInteger[] served;
+  private final Map<String, AtomicInteger> writes = new ConcurrentHashMap<>();
+  private final Set<Connection> open = ConcurrentHashMap.newKeySet();
+
+  Fleet(int size) throws IOException {
+    servers = new ServerSocket[size];
+    served = new AtomicInteger[size];
+    for (int i = 0; i < size; i++) {
+      int number = i;
+      servers[i] = listen();
+      served[i] = new AtomicInteger();
+      accept(servers[i], socket -> new Connection(socket, number).serve());
+    }
+    accept(discovery, this::watch);
+  }
+
+  private static ServerSocket listen() throws IOException {
+    ServerSocket socket = new ServerSocket();
+    socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 512);
+    return socket;
+  }
+
+  private interface Service {
+    void serve(Socket socket) throws IOException;
+  }
+
+  private static void accept(ServerSocket server, Service service) {
+    thread(
+        () -> {
+          while (true) {
+            Socket socket = server.accept();
+            socket.setTcpNoDelay(true);
+            thread(
+                () -> {
+                  try (socket) {
+                    service.serve(socket);
+                  }
+                });
+          }
+        });
+  }
+
+  private interface Work {
+    void run() throws IOException;
+  }
+
+  private static void thread(Work work) {
+    Thread thread =
+        new Thread(
+            () -> {
+              try {
+                work.run();
+              } catch (IOException e) {
+                // Its other end has gone, or the test is over.
+              }
+            });
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  private static String line(InputStream in) throws IOException {
+    StringBuilder line = new StringBuilder();
+    for (int c = in.read(); c >= 0; c = in.read()) {
+      if (c == '\n') {
+        return line.substring(0, line.length() - 1);
+      }
+      line.append((char) c);
+    }
+    return null;
+  }
+
+  /** A node's connection to one of the servers. */
+  private final class Connection {
+    private final Socket socket;
+    private final int server;
+    private boolean busy;
+
+    Connection(Socket socket, int server) {
+      this.socket = socket;
+      this.server = server;
+    }
+
+    void serve() throws IOException {
+      open.add(this);
+      try {
+        InputStream in = new BufferedInputStream(socket.getInputStream());
+        OutputStream out = socket.getOutputStream();
+        for (String line = line(in); line != null; line = line(in)) {
+          String[] words = line.split(" ");
+          String id = words[3].substring(1);
+          String answer = "VA 5 O" + id + " h1\r\nvalue\r\n";
+          if (words[0].equals("ms")) {
+            in.readNBytes(Integer.parseInt(words[2]) + 2);
+            answer = "HD O" + id + " c1\r\n";
+          }
+          synchronized (this) {
+            if (socket.isClosed()) {
+              return;
+            }
+            if (words[0].equals("ms")) {
+              writes.computeIfAbsent(id, i -> new AtomicInteger()).incrementAndGet();
+            }
+            served[server].incrementAndGet();
+            out.write(answer.getBytes(StandardCharsets.US_ASCII));
+            busy = in.available() > 0;
+          }
+        }
+      } finally {
+        open.remove(this);
+      }
+    }
+
+    synchronized void closeIfIdle() throws IOException {
+      if (!busy && socket.getInputStream().available() == 0) {
+        socket.close();
+      }
+    }
+  }
+
+  /** Ends each connection on which no request waits; from both sides they have long been idle. */
+  void closeIdleConnections() throws IOException {
+    for (Connection connection : open) {
+      connection.closeIfIdle();
+    }
+  }
+
+  int served(int server) {
+    return served[server].get();
+  }
+
+  void resetCounts() {
+    for (AtomicInteger count : served) {
+      count.set(0);
+    }
+  }
+
+  /** How often the write of this id was carried out. */
+  int executions(String id) {
+    AtomicInteger count = writes.get(id);
+    return count == null ? 0 : count.get();
+  }
+
+  int discoveryPort() {
+    return discovery.getLocalPort();
+  }
+
+  /** The list of servers, in discovery's form. */
+  String list() {
+    StringBuilder list = new StringBuilder();
+    for (int i = 0; i < servers.length; i++) {
+      list.append(i == 0 ? "" : ",")
+          .append(
+              """
+              {"id":"s-%d","addr":"127.0.0.1:%d","zone":"a","kind":"m","cell":0,"state":"active",\
+              "weight":1.0,"started_ms":0}"""
+                  .formatted(i, servers[i].getLocalPort()));
+    }
+    return "{\"version\":1,\"full\":true,\"servers\":[" + list + "]}";
+  }
+
+  private void watch(Socket socket) throws IOException {
+    InputStream in = new BufferedInputStream(socket.getInputStream());
+    for (String line = line(in); line != null && !line.isEmpty(); ) {
+      line = line(in);
+    }
+    OutputStream out = socket.getOutputStream();
+    out.write(
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+            .getBytes(StandardCharsets.US_ASCII));
+    String text = list() + "\n";
+    while (true) {
+      out.write(
+          (Integer.toHexString(text.length()) + "\r\n" + text + "\r\n")
+              .getBytes(StandardCharsets.US_ASCII));
+      text = "\n";
+      try {
+        Thread.sleep(1000);
+      } catch (InterruptedException e) {
+        return;
+      }
+    }
+  }
+
+  @Override
+  public void close() throws IOException {
+    discovery.close();
+    for (ServerSocket server : servers) {
+      server.close();
+    }
+    for (Connection connection : open) {
+      connection.socket.close();
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/beamspread/StoppableNode.java
@@ -0,0 +1,104 @@
+package beamspread;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/** The program that {@code run} of the deploy file starts, stopped and continued by signals. */
+final class StoppableNode implements Closeable {
+  private final Process process;
+  private final InetSocketAddress address;
+
+  StoppableNode(Path folder, Fleet fleet, int sockets) throws Exception {
+    int port;
+    try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      port = free.getLocalPort();
+    }
+    address = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
+    Path config = folder.resolve("config.json");
+    Files.writeString(
+        config,
+        """
+        {"listen":"127.0.0.1:%d","discovery":"127.0.0.1:%d","seed":"8c1f30d27a5be964",
+         "limits":{"memory_mb":192,"sockets":%d},"known":%s,
+         "settings":{"instances":1,"discovery":"push",
+          "caps":{"attempts-cap":3,"cancel":true,"parallel-tries":true,"multiplex":32,
+                  "connect-timeout":0.15,"conn-idle":60},
+          "contract":{"ask-within":10,"drain-grace":2,"cold-from":0.1,"warm-within":1},
+          "services":[{"name":"read","effect":"retryable","slo":0.75,"give-up":2},
+                      {"name":"put","effect":"fragile","slo":0.75,"give-up":2}]}}
+        """
+            .formatted(port, fleet.discoveryPort(), sockets, fleet.list()));
+    String run =
+        Files.readAllLines(Path.of("deploy/balancer.toml")).stream()
+            .filter(line -> line.startsWith("run = "))
+            .findFirst()
+            .orElseThrow();
+    ProcessBuilder builder =
+        new ProcessBuilder(
+                List.of("/bin/sh", "-c", run.substring(run.indexOf('"') + 1, run.lastIndexOf('"'))))
+            .redirectErrorStream(true)
+            .redirectOutput(folder.resolve("node.log").toFile());
+    builder.environment().put("ROUTER_CONFIG", config.toString());
+    process = builder.start();
+    awaitListening();
+  }
+
+  private void awaitListening() throws Exception {
+    while (true) {
+      try {
+        new Socket(address.getAddress(), address.getPort()).close();
+        return;
+      } catch (ConnectException e) {
+        if (!process.isAlive()) {
+          throw new IOException("ended before it listened");
+        }
+        Thread.sleep(20);
+      }
+    }
+  }
+
+  InetSocketAddress address() {
+    return address;
+  }
+
+  void stop() throws Exception {
+    PauseIT.signal(process.pid(), "STOP");
+  }
+
+  void resume() throws Exception {
+    PauseIT.signal(process.pid(), "CONT");
+  }
+
+  void stopFor(long millis) throws Exception {
+    stop();
+    TimeUnit.MILLISECONDS.sleep(millis);
+    resume();
+  }
+
+  void hangUp() throws Exception {
+    PauseIT.signal(process.pid(), "HUP");
+  }
+
+  void terminate() throws Exception {
+    PauseIT.signal(process.pid(), "TERM");
+  }
+
+  boolean awaitEnd(long millis) throws InterruptedException {
+    return process.waitFor(millis, TimeUnit.MILLISECONDS);
+  }
+
+  @Override
+  public void close() {
+    process.destroyForcibly();
+    process.onExit().join();
+  }
+}
--- /dev/null
+++ b/src/test/java/beamspread/node/LoopClockTest.java
@@ -0,0 +1,134 @@
+package beamspread.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** The loop's pauses, in virtual time. */
+class LoopClockTest {
+  private static final long MILLI = 1_000_000;
+
+  /** Writes down what it is told. */
+  static final class Recorder implements LoopClock.Listener {
+    final List<Long> pauses = new ArrayList<>();
+    final List<RuntimeException> failures = new ArrayList<>();
+
+    @Override
+    public void paused(long nanos) {
+      pauses.add(nanos);
+    }
+
+    @Override
+    public void failed(RuntimeException cause) {
+      failures.add(cause);
+    }
+  }
+
+  private final Recorder recorder = new Recorder();
+  private final LoopClock clock = new LoopClock(0, recorder);
+  private long now;
+
+  /** A turn that sleeps first, and then reads from so many connections for so long. */
+  private void turn(long asleep, int handled, long reading) {
+    clock.turnBegins(now);
+    now += asleep;
+    clock.look(now);
+    now += reading;
+    clock.turnEnds(now, handled);
+  }
+
+  @Test
+  void aLoopThatSleepsForABeatHasNotPaused() {
+    for (int i = 0; i < 1000; i++) {
+      turn(LoopClock.BEAT_NANOS, i % 3, MILLI);
+    }
+    assertEquals(0, clock.pauses());
+    assertEquals(now, clock.listened());
+    assertFalse(clock.behind());
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {50, 300, 1000, 3000})
+  void timeStandsStillInAPause(int millis) {
+    turn(MILLI, 1, MILLI);
+    long before = clock.listened();
+    now += millis * MILLI;
+    turn(0, 5, MILLI);
+    assertEquals(1, clock.pauses());
+    assertEquals(List.of(millis * MILLI - LoopClock.BEAT_NANOS), recorder.pauses);
+    assertEquals(millis * MILLI - LoopClock.BEAT_NANOS, clock.stood());
+    assertTrue(clock.listened() - before <= LoopClock.BEAT_NANOS + MILLI);
+  }
+
+  @Test
+  void judgesOnceATurnHasFoundNothingMoreToRead() {
+    List<String> done = new ArrayList<>();
+    now += 300 * MILLI;
+    clock.turnBegins(now);
+    clock.whenCaughtUp(() -> done.add("first"));
+    clock.turnEnds(now, 7);
+    assertTrue(clock.behind());
+    clock.whenCaughtUp(() -> done.add("second"));
+    turn(0, 2, MILLI);
+    assertEquals(List.of(), done);
+    turn(0, 0, MILLI);
+    assertEquals(List.of("first", "second"), done);
+    assertFalse(clock.behind());
+    clock.whenCaughtUp(() -> done.add("at once"));
+    assertEquals(3, done.size());
+  }
+
+  @Test
+  void aPauseWithinATurnIsNoticedBeforeAnythingIsJudged() {
+    List<String> done = new ArrayList<>();
+    // Stopped after it looked for what had come: nothing found then says nothing of the pause.
+    clock.turnBegins(now);
+    now += 500 * MILLI;
+    clock.turnEnds(now, 0);
+    clock.whenCaughtUp(() -> done.add("judged"));
+    assertTrue(clock.behind());
+    turn(0, 0, MILLI);
+    assertEquals(List.of("judged"), done);
+  }
+
+  @Test
+  void isNotPutOffForGoodWhereThePausesNeverEnd() {
+    SplittableRandom random = new SplittableRandom(7);
+    int[] judged = {0};
+    int turns = 2000;
+    for (int i = 0; i < turns; i++) {
+      clock.whenCaughtUp(() -> judged[0]++);
+      // Run for 10 ms, stopped for 90, wherever that falls.
+      if (random.nextBoolean()) {
+        now += 90 * MILLI;
+        turn(0, 1 + random.nextInt(50), 10 * MILLI);
+      } else {
+        turn(90 * MILLI, 1 + random.nextInt(50), 10 * MILLI);
+      }
+    }
+    assertTrue(judged[0] > turns - 10, judged[0] + " of " + turns);
+    assertTrue(clock.stood() > 0.7 * now, clock.stood() + " of " + now);
+  }
+
+  @Test
+  void aTaskThatFailsKeepsNoOtherFromRunning() {
+    List<String> done = new ArrayList<>();
+    now += 300 * MILLI;
+    clock.look(now);
+    clock.whenCaughtUp(
+        () -> {
+          throw new IllegalStateException("on purpose");
+        });
+    clock.whenCaughtUp(() -> done.add("next"));
+    turn(0, 0, 0);
+    assertEquals(List.of("next"), done);
+    assertEquals(1, recorder.failures.size());
+  }
+}
--- a/src/test/java/beamspread/node/NodeRig.java
+++ b/src/test/java/beamspread/node/NodeRig.java
@@ -11,6 +11,8 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 
 /** A node on loopback with one scripted cache server and one scripted discovery. */
 final class NodeRig implements Closeable {
@@ -130,6 +132,69 @@
     return keep(Peer.connect(address));
   }
 
+  /** What happens while the event loop does not run. */
+  interface Meanwhile {
+    void happens() throws Exception;
+  }
+
+  /** Holds the event loop for as long as this takes. */
+  void pausedWhile(Meanwhile meanwhile) throws Exception {
+    pausedWhile(120, meanwhile);
+  }
+
+  /** Holds the event loop for as long as this takes, and for so long before. */
+  void pausedWhile(long millis, Meanwhile meanwhile) throws Exception {
+    CountDownLatch begun = new CountDownLatch(1);
+    CountDownLatch over = new CountDownLatch(1);
+    Runnable hold =
+        () -> {
+          begun.countDown();
+          awaitInLoop(over, Long.MAX_VALUE);
+        };
+    // At the worst moment: what came due in the time before is run once the loop runs again, and
+    // comes before it reads; what is due every 100 ms is always among that.
+    node.loop()
+        .execute(
+            () -> {
+              node.loop().schedule(hold, 0, TimeUnit.MILLISECONDS);
+              awaitInLoop(over, millis);
+            });
+    begun.await();
+    try {
+      meanwhile.happens();
+    } finally {
+      over.countDown();
+    }
+  }
+
+  private static void awaitInLoop(CountDownLatch latch, long millis) {
+    try {
+      latch.await(millis, TimeUnit.MILLISECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /** Returns once the event loop has read what had come. */
+  void settled() throws InterruptedException {
+    for (int i = 0; i < 3; i++) {
+      CountDownLatch turned = new CountDownLatch(1);
+      node.loop().schedule(turned::countDown, 5, TimeUnit.MILLISECONDS);
+      turned.await();
+    }
+  }
+
+  /** Whether the node calls discovery once more within so long. */
+  boolean hasAnotherDiscoveryCall(int millis) throws IOException {
+    discovery.setSoTimeout(millis);
+    try {
+      keep(new Peer(discovery.accept()));
+      return true;
+    } catch (SocketTimeoutException e) {
+      return false;
+    }
+  }
+
   /** Returns once the node accepts no more. */
   void awaitClosedListener() throws Exception {
     for (int i = 0; i < Peer.PATIENCE_MILLIS / 10; i++) {
--- /dev/null
+++ b/src/test/java/beamspread/node/PauseTest.java
@@ -0,0 +1,210 @@
+package beamspread.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * What a node does about events of a time in which its event loop did not run. The loop is held by
+ * a task that sleeps, so that the kernel goes on receiving for it; what happens meanwhile happens
+ * in an order that the test sets.
+ */
+class PauseTest {
+  private NodeRig rig;
+
+  @BeforeEach
+  void start() throws Exception {
+    rig = new NodeRig();
+  }
+
+  @AfterEach
+  void stop() throws Exception {
+    rig.close();
+  }
+
+  /** Serves one read, so that the client's connection is between two requests. */
+  private Peer warm(Peer client, String id) throws Exception {
+    client.write(NodeRig.get(id, 2000));
+    Peer cache = rig.acceptCache();
+    serve(cache, id);
+    assertEquals("VA 1 O" + id, client.line());
+    assertEquals("x", client.line());
+    return cache;
+  }
+
+  private static void serve(Peer cache, String id) throws Exception {
+    String line = cache.line();
+    assertTrue(line != null && line.contains("O" + id + " "), line);
+    cache.write("VA 1 O" + id + "\r\nx\r\n");
+  }
+
+  @Test
+  void aRequestThatCameInAPauseIsAnsweredThoughItsConnectionHadLongBeenIdle() throws Exception {
+    Peer client = rig.client();
+    Peer cache = warm(client, "a1");
+    // Idle for 4 s by the wall when the loop runs again: it would be closed as useless.
+    rig.pausedWhile(
+        () -> {
+          Thread.sleep(4300);
+          client.write(NodeRig.get("a2", 2000));
+        });
+    serve(cache, "a2");
+    assertEquals("VA 1 Oa2", client.line());
+  }
+
+  @Test
+  void aFirstRequestThatCameInAPauseIsAnswered() throws Exception {
+    Peer client = rig.client();
+    client.write("mg key v Oa1 Pc=read");
+    rig.pausedWhile(
+        () -> {
+          Thread.sleep(2300);
+          client.write(",d=2000\r\n");
+        });
+    serve(rig.acceptCache(), "a1");
+    assertEquals("VA 1 Oa1", client.line());
+  }
+
+  @Test
+  void clientsWithUnreadRequestsDoNotGiveWay() throws Exception {
+    rig.close();
+    rig = new NodeRig(1, 128);
+    List<Peer> clients = new ArrayList<>();
+    for (int i = 0; i < 60; i++) {
+      clients.add(rig.client());
+    }
+    rig.client().write("mn\r\n").line(); // All before it are accepted.
+    Thread.sleep(100); // Long enough for those that have asked for nothing to give way.
+    List<Peer> more = new ArrayList<>();
+    rig.pausedWhile(
+        () -> {
+          for (Peer client : clients) {
+            client.write("mn\r\n");
+          }
+          for (int i = 0; i < 20; i++) {
+            more.add(rig.client());
+          }
+        });
+    for (Peer client : clients) {
+      assertEquals("MN", client.line());
+    }
+  }
+
+  @Test
+  void aServerIsNotTakenForSilentBecauseNobodyListened() throws Exception {
+    Peer client = rig.client();
+    Peer cache = warm(client, "a1");
+    client.write(NodeRig.get("a2", 1000));
+    String line = cache.line();
+    assertTrue(line.contains("Oa2 "), line);
+    // It answers in the pause, in which the time for that passes.
+    rig.pausedWhile(
+        1100,
+        () -> {
+          cache.write("VA 1 Oa2\r\nx\r\n");
+          Thread.sleep(100);
+        });
+    assertEquals("VA 1 Oa2", client.line());
+    assertEquals("x", client.line());
+    // Nor is its connection given up: the next request goes there.
+    client.write(NodeRig.get("a3", 2000));
+    serve(cache, "a3");
+  }
+
+  @Test
+  void anAnswerThatBeganBeforeAPauseMayEndAfterIt() throws Exception {
+    Peer client = rig.client();
+    Peer cache = warm(client, "a1");
+    client.write(NodeRig.get("a2", 3000));
+    cache.line();
+    cache.write("VA 10 Oa2\r\n01234");
+    rig.settled();
+    rig.pausedWhile(
+        () -> {
+          Thread.sleep(500);
+        });
+    Thread.sleep(50);
+    cache.write("56789\r\n");
+    assertEquals("VA 10 Oa2", client.line());
+    assertEquals("0123456789", client.line());
+  }
+
+  @Test
+  void aWriteAfterAPauseDoesNotGoToAConnectionThatWasClosedInIt() throws Exception {
+    Peer client = rig.client();
+    Peer cache = warm(client, "a1");
+    rig.pausedWhile(
+        () -> {
+          client.write(NodeRig.put("a2", 2000, "v"));
+          cache.close();
+          Thread.sleep(300);
+        });
+    Peer next = rig.acceptCache();
+    assertTrue(next.line().contains("Oa2 "));
+    next.line();
+    next.write("HD Oa2 c1\r\n");
+    assertEquals("HD Oa2 c1", client.line());
+  }
+
+  @Test
+  void everyRequestWhoseTimePassedInAPauseGetsOneAnswerAndAWriteGoesOutOnce() throws Exception {
+    Peer reader = rig.client();
+    Peer cache = warm(reader, "a1");
+    Peer writer = rig.client();
+    writer.write(NodeRig.put("w1", 300, "v"));
+    Peer other = cache;
+    String sent = other.line();
+    assertTrue(sent.startsWith("ms ") && sent.contains("Ow1 "), sent);
+    other.line();
+    rig.pausedWhile(
+        () -> {
+          reader.write(NodeRig.get("a2", 300));
+          Thread.sleep(1000);
+        });
+    assertEquals("SERVER_ERROR failed", writer.line());
+    // Its own time is told by the client from when it asked, and read by the node when it could.
+    String answer = null;
+    Peer connection = rig.acceptCache();
+    serve(connection, "a2");
+    answer = reader.line();
+    assertEquals("VA 1 Oa2", answer);
+    assertEquals("x", reader.line());
+    // Nothing more comes for either.
+    writer.write("mn\r\n");
+    reader.write("mn\r\n");
+    assertEquals("MN", writer.line());
+    assertEquals("MN", reader.line());
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {300, 3000})
+  void discoveryIsNotTakenForSilent(int millis) throws Exception {
+    Peer watch = rig.acceptDiscovery();
+    String line = watch.line();
+    assertTrue(line.startsWith("GET "), line);
+    while (!line.isEmpty()) {
+      line = watch.line();
+    }
+    watch.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n");
+    rig.settled();
+    Thread.sleep(2000);
+    rig.pausedWhile(
+        () -> {
+          Thread.sleep(millis);
+        });
+    rig.settled();
+    String list = NodeRig.members(8, false, rig.cache.getLocalPort()) + "\n";
+    watch.write(Integer.toHexString(list.length()) + "\r\n" + list + "\r\n");
+    rig.settled();
+    watch.write("1\r\n\n\r\n");
+    assertFalse(rig.hasAnotherDiscoveryCall(300), "the watch was given up");
+  }
+}
--- a/src/test/java/beamspread/node/TimersTest.java
+++ b/src/test/java/beamspread/node/TimersTest.java
@@ -21,8 +21,10 @@
 
   /** One event loop that ends with the test. */
   private static final class Group implements AutoCloseable {
+    private final LoopClock clock = new LoopClock(System.nanoTime(), new LoopClockTest.Recorder());
     private final MultiThreadIoEventLoopGroup threads =
-        new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        new MultiThreadIoEventLoopGroup(
+            1, WatchedIoHandler.factory(NioIoHandler.newFactory(), clock));
     private final EventLoop loop = threads.next();
 
     @Override
@@ -42,7 +44,7 @@
       long[] turn = {0};
       loop.submit(
               () -> {
-                Timers under = new Timers(loop, new Log(), TICK);
+                Timers under = new Timers(loop, group.clock, new Log(), TICK);
                 long began = System.nanoTime();
                 for (int i = 0; i < timers; i++) {
                   long delay = i * 200_000L;
@@ -76,7 +78,7 @@
       CountDownLatch done = new CountDownLatch(1);
       loop.submit(
               () -> {
-                Timers timers = new Timers(loop, new Log(), TICK);
+                Timers timers = new Timers(loop, group.clock, new Log(), TICK);
                 timers.after(
                     3 * TICK,
                     () -> {
@@ -113,7 +115,7 @@
           .loop
           .submit(
               () -> {
-                Timers under = new Timers(counted, new Log(), TICK / 10);
+                Timers under = new Timers(counted, group.clock, new Log(), TICK / 10);
                 // Each is due before all that were set, so that each needs an earlier alarm.
                 for (int i = timers; i > 0; i--) {
                   under.after(i * TICK / 10, done::countDown);
@@ -126,4 +128,33 @@
       assertTrue(alarms.get() <= 2 * timers, alarms + " alarms");
     }
   }
+
+  @Test
+  void silenceIsMeasuredInTimeInWhichTheLoopListened() throws Exception {
+    try (Group group = new Group()) {
+      CountDownLatch silent = new CountDownLatch(1);
+      CountDownLatch over = new CountDownLatch(1);
+      group
+          .loop
+          .submit(
+              () -> {
+                Timers timers = new Timers(group.loop, group.clock, new Log(), TICK);
+                timers.afterListening(300_000_000, silent::countDown);
+                timers.after(300_000_000, over::countDown);
+                pause(400);
+              })
+          .sync();
+      assertTrue(over.await(100, TimeUnit.MILLISECONDS), "a deadline was put off");
+      assertEquals(1, silent.getCount(), "silence was held against a peer nobody listened to");
+      assertTrue(silent.await(Peer.PATIENCE_MILLIS, TimeUnit.MILLISECONDS));
+    }
+  }
+
+  private static void pause(long millis) {
+    try {
+      Thread.sleep(millis);
+    } catch (InterruptedException e) {
+      throw new AssertionError(e);
+    }
+  }
 }
