Move into modules core, simhost, engine and daemon, named shalepaddle throughout

Everything was one folder, and a second front or a library could not stand beside the daemon. This commit only moves: packages beamspread.* become shalepaddle.*, model and policy go to core, the simulator's adapter to simhost, the node to engine, the command line and the tests of the jar to daemon. The policy's text is unchanged but for package and import lines.

--- a/src/main/java/beamspread/model/LoadReport.java
+++ b/core/src/main/java/shalepaddle/model/LoadReport.java
@@ -1,4 +1,4 @@
-package beamspread.model;
+package shalepaddle.model;
 
 /**
  * What a server says of its own load; a value it does not report is NaN.
--- a/src/main/java/beamspread/model/Outcome.java
+++ b/core/src/main/java/shalepaddle/model/Outcome.java
@@ -1,4 +1,4 @@
-package beamspread.model;
+package shalepaddle.model;
 
 /**
  * How one attempt ended.
--- a/src/main/java/beamspread/model/Request.java
+++ b/core/src/main/java/shalepaddle/model/Request.java
@@ -1,4 +1,4 @@
-package beamspread.model;
+package shalepaddle.model;
 
 /**
  * A client's request as it arrives.
--- a/src/main/java/beamspread/model/ServerEntry.java
+++ b/core/src/main/java/shalepaddle/model/ServerEntry.java
@@ -1,4 +1,4 @@
-package beamspread.model;
+package shalepaddle.model;
 
 /**
  * One line of the list of cache servers.
--- a/src/main/java/beamspread/policy/Actions.java
+++ b/core/src/main/java/shalepaddle/policy/Actions.java
@@ -1,4 +1,4 @@
-package beamspread.policy;
+package shalepaddle.policy;
 
 /** What a {@link Balancer} can do; the shell around it carries these out, in order. */
 public interface Actions {
--- a/src/main/java/beamspread/policy/Balancer.java
+++ b/core/src/main/java/shalepaddle/policy/Balancer.java
@@ -1,16 +1,16 @@
-package beamspread.policy;
+package shalepaddle.policy;
 
-import beamspread.model.MembershipUpdate;
-import beamspread.model.Outcome;
-import beamspread.model.Outcome.Result;
-import beamspread.model.Request;
-import beamspread.model.Settings;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import shalepaddle.model.MembershipUpdate;
+import shalepaddle.model.Outcome;
+import shalepaddle.model.Outcome.Result;
+import shalepaddle.model.Request;
+import shalepaddle.model.Settings;
 
 /**
  * Decides where requests go: Random Jump Consistent Hashing over the servers of the list, with a
--- a/src/main/java/beamspread/policy/KeyHeat.java
+++ b/core/src/main/java/shalepaddle/policy/KeyHeat.java
@@ -1,4 +1,4 @@
-package beamspread.policy;
+package shalepaddle.policy;
 
 /** How often this balancer sees each key: a small count-min sketch that fades. */
 final class KeyHeat {
--- a/src/main/java/beamspread/policy/LoadCap.java
+++ b/core/src/main/java/shalepaddle/policy/LoadCap.java
@@ -1,4 +1,4 @@
-package beamspread.policy;
+package shalepaddle.policy;
 
 /** The cap on a server's requests in flight, as this balancer counts them. */
 final class LoadCap {
--- a/src/main/java/beamspread/policy/MembershipFeed.java
+++ b/core/src/main/java/shalepaddle/policy/MembershipFeed.java
@@ -1,11 +1,11 @@
-package beamspread.policy;
+package shalepaddle.policy;
 
-import beamspread.model.MembershipUpdate;
-import beamspread.model.ServerEntry;
-import beamspread.model.Settings;
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import shalepaddle.model.MembershipUpdate;
+import shalepaddle.model.ServerEntry;
+import shalepaddle.model.Settings;
 
 /** Follows the list of servers and keeps asking for it where it must be asked. */
 final class MembershipFeed {
--- a/src/main/java/beamspread/policy/OriginGuard.java
+++ b/core/src/main/java/shalepaddle/policy/OriginGuard.java
@@ -1,12 +1,12 @@
-package beamspread.policy;
+package shalepaddle.policy;
 
-import beamspread.model.Outcome;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import shalepaddle.model.Outcome;
 
 /**
  * Keeps fetches within what the origin bears. It remembers which keys each server answered lately;
--- a/src/main/java/beamspread/policy/PendingRequest.java
+++ b/core/src/main/java/shalepaddle/policy/PendingRequest.java
@@ -1,10 +1,10 @@
-package beamspread.policy;
+package shalepaddle.policy;
 
-import beamspread.model.Request;
-import beamspread.model.ServerEntry;
-import beamspread.model.Settings;
 import java.util.ArrayList;
 import java.util.List;
+import shalepaddle.model.Request;
+import shalepaddle.model.ServerEntry;
+import shalepaddle.model.Settings;
 
 /** A request and its attempts: what rules 1 and 2 (one answer, no effect twice) are kept by. */
 final class PendingRequest {
--- a/src/main/java/beamspread/policy/ServerHealth.java
+++ b/core/src/main/java/shalepaddle/policy/ServerHealth.java
@@ -1,8 +1,8 @@
-package beamspread.policy;
+package shalepaddle.policy;
 
-import beamspread.model.Outcome;
-import beamspread.model.ServerEntry;
-import beamspread.model.Settings;
+import shalepaddle.model.Outcome;
+import shalepaddle.model.ServerEntry;
+import shalepaddle.model.Settings;
 
 /** What this balancer knows of one server: its list entry, requests in flight, health, warmth. */
 final class ServerHealth {
--- a/src/main/java/beamspread/policy/SlotTable.java
+++ b/core/src/main/java/shalepaddle/policy/SlotTable.java
@@ -1,4 +1,4 @@
-package beamspread.policy;
+package shalepaddle.policy;
 
 import java.util.Arrays;
 import java.util.List;
--- a/src/test/java/beamspread/policy/FailuresTest.java
+++ b/core/src/test/java/shalepaddle/policy/FailuresTest.java
@@ -1,20 +1,20 @@
-package beamspread.policy;
+package shalepaddle.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import beamspread.model.LoadReport;
-import beamspread.model.MembershipUpdate;
-import beamspread.model.Outcome;
-import beamspread.model.Request;
-import beamspread.model.ServerEntry;
-import beamspread.model.Settings;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.TreeSet;
 import org.junit.jupiter.api.Test;
+import shalepaddle.model.LoadReport;
+import shalepaddle.model.MembershipUpdate;
+import shalepaddle.model.Outcome;
+import shalepaddle.model.Request;
+import shalepaddle.model.ServerEntry;
+import shalepaddle.model.Settings;
 
 /** One small test for each failure that experiments have found. */
 class FailuresTest {
--- a/src/test/java/beamspread/policy/JumpsTest.java
+++ b/core/src/test/java/shalepaddle/policy/JumpsTest.java
@@ -1,13 +1,13 @@
-package beamspread.policy;
+package shalepaddle.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import beamspread.model.MembershipUpdate;
-import beamspread.model.ServerEntry;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import shalepaddle.model.MembershipUpdate;
+import shalepaddle.model.ServerEntry;
 
 /** The ordinary path: home, jumps past full servers, and its end. */
 class JumpsTest {
--- a/src/test/java/beamspread/policy/PausesTest.java
+++ b/core/src/test/java/shalepaddle/policy/PausesTest.java
@@ -1,14 +1,14 @@
-package beamspread.policy;
+package shalepaddle.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import beamspread.model.Outcome;
-import beamspread.model.Settings;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import shalepaddle.model.Outcome;
+import shalepaddle.model.Settings;
 
 /** What the module makes of time in which its node stood still. */
 class PausesTest {
--- a/src/test/java/beamspread/policy/PolicySizeTest.java
+++ b/core/src/test/java/shalepaddle/policy/PolicySizeTest.java
@@ -1,4 +1,4 @@
-package beamspread.policy;
+package shalepaddle.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -16,7 +16,7 @@
 
   @Test
   void staysWithinItsLimitAndIsNamedWhole() throws IOException {
-    Path folder = Path.of("src/main/java/beamspread/policy");
+    Path folder = Path.of("core/src/main/java/shalepaddle/policy");
     String deploy = Files.readString(Path.of("deploy/balancer.toml"));
     long lines = 0;
     TreeSet<String> named = new TreeSet<>();
--- a/src/test/java/beamspread/policy/Rig.java
+++ b/core/src/test/java/shalepaddle/policy/Rig.java
@@ -1,12 +1,12 @@
-package beamspread.policy;
+package shalepaddle.policy;
 
-import beamspread.model.MembershipUpdate;
-import beamspread.model.Outcome;
-import beamspread.model.Request;
-import beamspread.model.ServerEntry;
-import beamspread.model.Settings;
 import java.util.ArrayList;
 import java.util.List;
+import shalepaddle.model.MembershipUpdate;
+import shalepaddle.model.Outcome;
+import shalepaddle.model.Request;
+import shalepaddle.model.ServerEntry;
+import shalepaddle.model.Settings;
 
 /** Builds small worlds for tests: settings, servers, and a recorder of actions. */
 final class Rig {
--- a/src/test/java/beamspread/policy/RuleChecker.java
+++ b/core/src/test/java/shalepaddle/policy/RuleChecker.java
@@ -1,14 +1,14 @@
-package beamspread.policy;
+package shalepaddle.policy;
 
-import beamspread.model.Outcome;
-import beamspread.model.Request;
-import beamspread.model.ServerEntry;
-import beamspread.model.Settings;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import shalepaddle.model.Outcome;
+import shalepaddle.model.Request;
+import shalepaddle.model.ServerEntry;
+import shalepaddle.model.Settings;
 
 /** Watches a balancer's actions and notes every breach of the four rules. */
 final class RuleChecker extends Rig.Recorder {
--- a/src/test/java/beamspread/policy/RulesTest.java
+++ b/core/src/test/java/shalepaddle/policy/RulesTest.java
@@ -1,12 +1,8 @@
-package beamspread.policy;
+package shalepaddle.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import beamspread.model.MembershipUpdate;
-import beamspread.model.Outcome;
-import beamspread.model.ServerEntry;
-import beamspread.model.Settings;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
@@ -14,6 +10,10 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import shalepaddle.model.MembershipUpdate;
+import shalepaddle.model.Outcome;
+import shalepaddle.model.ServerEntry;
+import shalepaddle.model.Settings;
 
 /** The four rules under seeded events in odd but legal orders. */
 class RulesTest {
--- a/src/test/java/beamspread/policy/SlotTableTest.java
+++ b/core/src/test/java/shalepaddle/policy/SlotTableTest.java
@@ -1,4 +1,4 @@
-package beamspread.policy;
+package shalepaddle.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
--- a/src/main/java/beamspread/Main.java
+++ b/daemon/src/main/java/shalepaddle/daemon/Main.java
@@ -1,13 +1,13 @@
-package beamspread;
+package shalepaddle.daemon;
 
-import beamspread.node.Node;
-import beamspread.sim.SimHost;
-import beamspread.sim.WireException;
 import java.io.IOException;
+import shalepaddle.node.Node;
+import shalepaddle.sim.SimHost;
+import shalepaddle.sim.WireException;
 
 /** The program's commands. */
 public final class Main {
-  private static final String USAGE = "usage: beamspread simhost | serve | rehearse";
+  private static final String USAGE = "usage: shalepaddle simhost | serve | rehearse";
 
   private Main() {}
 
--- a/src/test/java/beamspread/Fleet.java
+++ b/daemon/src/test/java/shalepaddle/daemon/Fleet.java
@@ -1,4 +1,4 @@
-package beamspread;
+package shalepaddle.daemon;
 
 import java.io.BufferedInputStream;
 import java.io.Closeable;
--- a/src/test/java/beamspread/JarIT.java
+++ b/daemon/src/test/java/shalepaddle/daemon/JarIT.java
@@ -1,4 +1,4 @@
-package beamspread;
+package shalepaddle.daemon;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -62,7 +62,7 @@
     String loaded =
         output(builder.start())
             .lines()
-            .filter(line -> line.contains(" beamspread.node.Node "))
+            .filter(line -> line.contains(" shalepaddle.node.Node "))
             .findFirst()
             .orElseThrow();
     assertTrue(loaded.contains("shared objects file"), loaded);
--- a/src/test/java/beamspread/PauseIT.java
+++ b/daemon/src/test/java/shalepaddle/daemon/PauseIT.java
@@ -1,4 +1,4 @@
-package beamspread;
+package shalepaddle.daemon;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
--- a/src/test/java/beamspread/StoppableNode.java
+++ b/daemon/src/test/java/shalepaddle/daemon/StoppableNode.java
@@ -1,4 +1,4 @@
-package beamspread;
+package shalepaddle.daemon;
 
 import java.io.Closeable;
 import java.io.IOException;
--- a/src/main/java/beamspread/node/Attempt.java
+++ b/engine/src/main/java/shalepaddle/node/Attempt.java
@@ -1,6 +1,6 @@
-package beamspread.node;
+package shalepaddle.node;
 
-import beamspread.model.Outcome;
+import shalepaddle.model.Outcome;
 
 /** One send of a request to one cache server. */
 final class Attempt {
--- a/src/main/java/beamspread/node/ClientHandler.java
+++ b/engine/src/main/java/shalepaddle/node/ClientHandler.java
@@ -1,4 +1,4 @@
-package beamspread.node;
+package shalepaddle.node;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
--- a/src/main/java/beamspread/node/ClientListener.java
+++ b/engine/src/main/java/shalepaddle/node/ClientListener.java
@@ -1,4 +1,4 @@
-package beamspread.node;
+package shalepaddle.node;
 
 import io.netty.channel.Channel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
--- a/src/main/java/beamspread/node/Clock.java
+++ b/engine/src/main/java/shalepaddle/node/Clock.java
@@ -1,4 +1,4 @@
-package beamspread.node;
+package shalepaddle.node;
 
 /**
  * The node's time: seconds that never run backwards, set once by the system's clock so that the
--- a/src/main/java/beamspread/node/DiscoveryClient.java
+++ b/engine/src/main/java/shalepaddle/node/DiscoveryClient.java
@@ -1,7 +1,5 @@
-package beamspread.node;
+package shalepaddle.node;
 
-import beamspread.sim.Message;
-import beamspread.sim.WireException;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -25,6 +23,8 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
+import shalepaddle.sim.Message;
+import shalepaddle.sim.WireException;
 
 /**
  * Asks discovery for the list of servers. Where the list must be asked for, a call is made only
--- a/src/main/java/beamspread/node/Dispatcher.java
+++ b/engine/src/main/java/shalepaddle/node/Dispatcher.java
@@ -1,12 +1,5 @@
-package beamspread.node;
-
-import beamspread.model.LoadReport;
-import beamspread.model.MembershipUpdate;
-import beamspread.model.Outcome;
-import beamspread.model.Request;
-import beamspread.model.Settings;
-import beamspread.policy.Actions;
-import beamspread.policy.Balancer;
+package shalepaddle.node;
+
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.ByteBufUtil;
@@ -18,6 +11,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import shalepaddle.model.LoadReport;
+import shalepaddle.model.MembershipUpdate;
+import shalepaddle.model.Outcome;
+import shalepaddle.model.Request;
+import shalepaddle.model.Settings;
+import shalepaddle.policy.Actions;
+import shalepaddle.policy.Balancer;
 
 /**
  * Stands between the decision module and the sockets: tells it what happens, one event after the
--- a/src/main/java/beamspread/node/Hangup.java
+++ b/engine/src/main/java/shalepaddle/node/Hangup.java
@@ -1,4 +1,4 @@
-package beamspread.node;
+package shalepaddle.node;
 
 import java.lang.invoke.MethodHandle;
 import java.lang.invoke.MethodHandleProxies;
--- a/src/main/java/beamspread/node/IdleRisk.java
+++ b/engine/src/main/java/shalepaddle/node/IdleRisk.java
@@ -1,4 +1,4 @@
-package beamspread.node;
+package shalepaddle.node;
 
 /**
  * What becomes of requests that are written to a server's connections after a pause, by the length
--- a/src/main/java/beamspread/node/Log.java
+++ b/engine/src/main/java/shalepaddle/node/Log.java
@@ -1,4 +1,4 @@
-package beamspread.node;
+package shalepaddle.node;
 
 /** Lines on standard error, at most so many a second: a failure that repeats must not cost more. */
 final class Log {
--- a/src/main/java/beamspread/node/LoopClock.java
+++ b/engine/src/main/java/shalepaddle/node/LoopClock.java
@@ -1,4 +1,4 @@
-package beamspread.node;
+package shalepaddle.node;
 
 import java.util.ArrayList;
 import java.util.List;
--- a/src/main/java/beamspread/node/MemberList.java
+++ b/engine/src/main/java/shalepaddle/node/MemberList.java
@@ -1,8 +1,5 @@
-package beamspread.node;
+package shalepaddle.node;
 
-import beamspread.model.ServerEntry;
-import beamspread.sim.Message;
-import beamspread.sim.WireException;
 import io.netty.util.NetUtil;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -12,6 +9,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.UUID;
+import shalepaddle.model.ServerEntry;
+import shalepaddle.sim.Message;
+import shalepaddle.sim.WireException;
 
 /**
  * The list of cache servers, or a change of it, in discovery's form.
--- a/src/main/java/beamspread/node/MemoryBudget.java
+++ b/engine/src/main/java/shalepaddle/node/MemoryBudget.java
@@ -1,4 +1,4 @@
-package beamspread.node;
+package shalepaddle.node;
 
 /** Bytes of values that the node may hold at once, over all connections together. */
 final class MemoryBudget {
--- a/src/main/java/beamspread/node/MetaCommand.java
+++ b/engine/src/main/java/shalepaddle/node/MetaCommand.java
@@ -1,6 +1,5 @@
-package beamspread.node;
+package shalepaddle.node;
 
-import beamspread.model.Request;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.channel.ChannelHandlerContext;
@@ -8,6 +7,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Set;
+import shalepaddle.model.Request;
 
 /**
  * A command as a client sent it. A write keeps its value until the request has ended, for a second
--- a/src/main/java/beamspread/node/MetaReply.java
+++ b/engine/src/main/java/shalepaddle/node/MetaReply.java
@@ -1,13 +1,13 @@
-package beamspread.node;
+package shalepaddle.node;
 
-import beamspread.model.LoadReport;
-import beamspread.model.Outcome;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.ByteToMessageDecoder;
 import io.netty.handler.codec.DecoderException;
 import java.util.Arrays;
 import java.util.List;
+import shalepaddle.model.LoadReport;
+import shalepaddle.model.Outcome;
 
 /**
  * A cache server's reply.
--- a/src/main/java/beamspread/node/Node.java
+++ b/engine/src/main/java/shalepaddle/node/Node.java
@@ -1,6 +1,5 @@
-package beamspread.node;
+package shalepaddle.node;
 
-import beamspread.sim.WireException;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.PooledByteBufAllocator;
@@ -17,6 +16,7 @@
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import shalepaddle.sim.WireException;
 
 /** One load balancer node: assembles its parts around one event loop, and ends them in order. */
 public final class Node implements AutoCloseable {
--- a/src/main/java/beamspread/node/NodeConfig.java
+++ b/engine/src/main/java/shalepaddle/node/NodeConfig.java
@@ -1,9 +1,5 @@
-package beamspread.node;
+package shalepaddle.node;
 
-import beamspread.model.Settings;
-import beamspread.sim.Dialect;
-import beamspread.sim.Message;
-import beamspread.sim.WireException;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
@@ -11,6 +7,10 @@
 import java.nio.file.Path;
 import java.util.Set;
 import java.util.stream.Collectors;
+import shalepaddle.model.Settings;
+import shalepaddle.sim.Dialect;
+import shalepaddle.sim.Message;
+import shalepaddle.sim.WireException;
 
 /**
  * What the platform tells a node.
--- a/src/main/java/beamspread/node/ServerConnection.java
+++ b/engine/src/main/java/shalepaddle/node/ServerConnection.java
@@ -1,6 +1,5 @@
-package beamspread.node;
+package shalepaddle.node;
 
-import beamspread.model.Outcome;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -10,6 +9,7 @@
 import java.io.IOException;
 import java.net.SocketAddress;
 import java.util.ArrayDeque;
+import shalepaddle.model.Outcome;
 
 /**
  * One connection to a cache server. Answers come in the order of the commands; each is matched with
--- a/src/main/java/beamspread/node/ServerPool.java
+++ b/engine/src/main/java/shalepaddle/node/ServerPool.java
@@ -1,6 +1,5 @@
-package beamspread.node;
+package shalepaddle.node;
 
-import beamspread.model.Outcome;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelFuture;
 import java.net.SocketAddress;
@@ -8,6 +7,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
+import shalepaddle.model.Outcome;
 
 /** This node's connections to one cache server. */
 final class ServerPool {
--- a/src/main/java/beamspread/node/ServerPools.java
+++ b/engine/src/main/java/shalepaddle/node/ServerPools.java
@@ -1,12 +1,12 @@
-package beamspread.node;
+package shalepaddle.node;
 
-import beamspread.model.Outcome;
-import beamspread.model.ServerEntry;
 import io.netty.bootstrap.Bootstrap;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import shalepaddle.model.Outcome;
+import shalepaddle.model.ServerEntry;
 
 /** The connections to all cache servers, each known by the number that the module uses. */
 final class ServerPools {
--- a/src/main/java/beamspread/node/Timers.java
+++ b/engine/src/main/java/shalepaddle/node/Timers.java
@@ -1,4 +1,4 @@
-package beamspread.node;
+package shalepaddle.node;
 
 import io.netty.channel.EventLoop;
 import java.util.ArrayList;
--- a/src/main/java/beamspread/node/Warmup.java
+++ b/engine/src/main/java/shalepaddle/node/Warmup.java
@@ -1,7 +1,5 @@
-package beamspread.node;
+package shalepaddle.node;
 
-import beamspread.model.ServerEntry;
-import beamspread.model.Settings;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
@@ -24,6 +22,8 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import shalepaddle.model.ServerEntry;
+import shalepaddle.model.Settings;
 
 /**
  * Takes requests through the node's own code before clients come, over private sockets in the file
--- a/src/main/java/beamspread/node/WatchedIoHandler.java
+++ b/engine/src/main/java/shalepaddle/node/WatchedIoHandler.java
@@ -1,4 +1,4 @@
-package beamspread.node;
+package shalepaddle.node;
 
 import io.netty.channel.IoHandle;
 import io.netty.channel.IoHandler;
--- a/src/test/java/beamspread/node/LoopClockTest.java
+++ b/engine/src/test/java/shalepaddle/node/LoopClockTest.java
@@ -1,4 +1,4 @@
-package beamspread.node;
+package shalepaddle.node;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
--- a/src/test/java/beamspread/node/NodeRig.java
+++ b/engine/src/test/java/shalepaddle/node/NodeRig.java
@@ -1,4 +1,4 @@
-package beamspread.node;
+package shalepaddle.node;
 
 import java.io.Closeable;
 import java.io.IOException;
--- a/src/test/java/beamspread/node/Peer.java
+++ b/engine/src/test/java/shalepaddle/node/Peer.java
@@ -1,4 +1,4 @@
-package beamspread.node;
+package shalepaddle.node;
 
 import java.io.BufferedInputStream;
 import java.io.Closeable;
--- a/src/main/java/beamspread/sim/ActionWriter.java
+++ b/simhost/src/main/java/shalepaddle/sim/ActionWriter.java
@@ -1,9 +1,9 @@
-package beamspread.sim;
+package shalepaddle.sim;
 
-import beamspread.policy.Actions;
 import com.fasterxml.jackson.core.JsonGenerator;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import shalepaddle.policy.Actions;
 
 /** Writes the actions of one instance in the wire's words. */
 final class ActionWriter implements Actions {
--- a/src/main/java/beamspread/sim/Dialect.java
+++ b/simhost/src/main/java/shalepaddle/sim/Dialect.java
@@ -1,13 +1,13 @@
-package beamspread.sim;
+package shalepaddle.sim;
 
-import beamspread.model.LoadReport;
-import beamspread.model.MembershipUpdate;
-import beamspread.model.Outcome;
-import beamspread.model.Request;
-import beamspread.model.ServerEntry;
-import beamspread.model.Settings;
 import java.util.ArrayList;
 import java.util.List;
+import shalepaddle.model.LoadReport;
+import shalepaddle.model.MembershipUpdate;
+import shalepaddle.model.Outcome;
+import shalepaddle.model.Request;
+import shalepaddle.model.ServerEntry;
+import shalepaddle.model.Settings;
 
 /** Turns the wire's words into values of the model. */
 public final class Dialect {
--- a/src/main/java/beamspread/sim/Message.java
+++ b/simhost/src/main/java/shalepaddle/sim/Message.java
@@ -1,4 +1,4 @@
-package beamspread.sim;
+package shalepaddle.sim;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
--- a/src/main/java/beamspread/sim/SimHost.java
+++ b/simhost/src/main/java/shalepaddle/sim/SimHost.java
@@ -1,6 +1,5 @@
-package beamspread.sim;
+package shalepaddle.sim;
 
-import beamspread.policy.Balancer;
 import com.fasterxml.jackson.core.JsonEncoding;
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
@@ -13,6 +12,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Map;
+import shalepaddle.policy.Balancer;
 
 /** Hosts many balancers on the simulator's wire; they share nothing. */
 public final class SimHost {
--- a/src/main/java/beamspread/sim/WireException.java
+++ b/simhost/src/main/java/shalepaddle/sim/WireException.java
@@ -1,4 +1,4 @@
-package beamspread.sim;
+package shalepaddle.sim;
 
 /** The input broke the wire's rules; the message names the line and what is wrong with it. */
 public final class WireException extends Exception {
--- a/src/test/java/beamspread/sim/SimHostTest.java
+++ b/simhost/src/test/java/shalepaddle/sim/SimHostTest.java
@@ -1,4 +1,4 @@
-package beamspread.sim;
+package shalepaddle.sim;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
