Hand requests to the engine as calls and take answers as replies

The dispatcher, the meta command, the meta reply and a client's slot held each other: no front but a meta socket could reach the decisions. A front now makes a Call (request, payload, sink), an Exchange holds its state, a server's codec makes a ServerReply, and a sealed Reply goes back to the sink. Meta to meta passes the client's own bytes on as before; a request of another front is put into words for a meta server, with its idempotency key. Values over 2 KiB go to clients without a copy. A sink that throws harms no other request, and a failure tells whether the write may have run.

--- /dev/null
+++ b/engine/src/main/java/shalepaddle/engine/Reply.java
@@ -0,0 +1,34 @@
+package shalepaddle.engine;
+
+import io.netty.buffer.ByteBuf;
+
+/** The one final answer of a request, in no protocol's words. */
+public sealed interface Reply {
+  /**
+   * A read was served.
+   *
+   * @param value as a cache server gave it for this request; whoever takes the reply releases it
+   */
+  record Value(ByteBuf value) implements Reply {}
+
+  /**
+   * A write was carried out.
+   *
+   * @param receipt as a cache server gave it for this request
+   */
+  record Receipt(String receipt) implements Reply {}
+
+  /**
+   * The request was turned away: trying again does no harm.
+   *
+   * @param retryAfterMillis when to come again, 0 where no advice is given
+   */
+  record Refused(long retryAfterMillis) implements Reply {}
+
+  /**
+   * The request failed.
+   *
+   * @param mayHaveRun whether it may have been carried out all the same, or may yet be
+   */
+  record Failed(boolean mayHaveRun) implements Reply {}
+}
--- a/engine/src/main/java/shalepaddle/node/Attempt.java
+++ b/engine/src/main/java/shalepaddle/node/Attempt.java
@@ -1,10 +1,11 @@
 package shalepaddle.node;
 
+import shalepaddle.engine.ServerReply;
 import shalepaddle.model.Outcome;
 
 /** One send of a request to one cache server. */
 final class Attempt {
-  final OpenRequest request;
+  final Exchange request;
   final int number;
   final long server;
   final long sentAt = System.nanoTime();
@@ -26,10 +27,13 @@
   /** Whether its outcome is settled; what the server says of it after that is dropped. */
   boolean over;
 
+  /** Whether its outcome proves that it was never carried out. */
+  boolean provenNotRun;
+
   /** Whether its answer is no longer wanted, though it may still come on its connection. */
   boolean abandoned;
 
-  Attempt(OpenRequest request, int number, long server, long deadlineNanos, long stoodBefore) {
+  Attempt(Exchange request, int number, long server, long deadlineNanos, long stoodBefore) {
     this.request = request;
     this.number = number;
     this.server = server;
@@ -37,16 +41,21 @@
     this.stoodBefore = stoodBefore;
   }
 
+  /** Whether it may have been carried out, or may yet be. */
+  boolean mayHaveRun() {
+    return over ? !provenNotRun : written;
+  }
+
   /** Whether it belongs to the request of this id. */
   boolean has(String id) {
     return request.id().equals(id);
   }
 
   /** Whether a reply can be the answer to it: of its request, a value for a read alone. */
-  boolean fits(MetaReply reply) {
+  boolean fits(ServerReply reply) {
     boolean named = reply.id() == null || has(reply.id());
     boolean served = reply.result() == Outcome.Result.OK;
-    boolean value = reply.length() >= 0;
-    return named && (!served || value != request.command.request.write());
+    boolean value = reply.value() != null;
+    return named && (!served || value != request.call.request().write());
   }
 }
--- a/engine/src/main/java/shalepaddle/node/ClientHandler.java
+++ b/engine/src/main/java/shalepaddle/node/ClientHandler.java
@@ -1,7 +1,6 @@
 package shalepaddle.node;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
@@ -11,6 +10,9 @@
 import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.concurrent.TimeUnit;
+import shalepaddle.engine.Call;
+import shalepaddle.engine.Reply;
+import shalepaddle.engine.ReplySink;
 
 /** A client's connection: takes its commands and gives the answers in their order. */
 final class ClientHandler extends ChannelInboundHandlerAdapter {
@@ -62,8 +64,9 @@
   }
 
   /** The place of one answer in the order of a connection's answers. */
-  final class Slot {
-    private OpenRequest request;
+  final class Slot implements ReplySink {
+    private Exchange request;
+    private String id;
 
     /** Bytes that wait for the answers before them, null if there are none. */
     private ByteBuf waiting;
@@ -71,15 +74,17 @@
     private boolean given;
     private boolean last;
 
+    @Override
+    public void reply(Reply reply) {
+      whole(MetaReplies.encode(channel.alloc(), id, reply));
+    }
+
     /** Gives a line as the whole answer. */
     void line(String text) {
-      ByteBuf line = channel.alloc().buffer(text.length() + 2);
-      ByteBufUtil.writeAscii(line, text);
-      whole(line.writeShort(0x0D0A));
+      whole(MetaReplies.line(channel.alloc(), text));
     }
 
-    /** Gives the whole answer. */
-    void whole(ByteBuf bytes) {
+    private void whole(ByteBuf bytes) {
       if (closing || !channel.isActive()) {
         bytes.release();
         return;
@@ -167,13 +172,14 @@
       command.release();
       return;
     }
-    used |= command.reply == null;
+    used |= command.reply() == null;
     Slot slot = new Slot();
     slots.add(slot);
     stand();
-    String reply = command.reply;
+    String reply = command.reply();
     if (reply == null) {
-      slot.request = dispatcher.request(command, slot);
+      slot.id = command.request().id();
+      slot.request = dispatcher.submit(new Call(command.request(), command.payload(), slot));
       if (slot.request == null) {
         reply = "CLIENT_ERROR id in use";
       }
@@ -182,7 +188,7 @@
       if (reply.startsWith("CLIENT_ERROR") || reply.equals("ERROR")) {
         penalize();
       }
-      slot.last = command.lost || errors >= MAX_ERRORS;
+      slot.last = command.lost() || errors >= MAX_ERRORS;
       slot.line(reply);
     }
     if (slots.size() >= MAX_OWED) {
--- a/engine/src/main/java/shalepaddle/node/Dispatcher.java
+++ b/engine/src/main/java/shalepaddle/node/Dispatcher.java
@@ -1,8 +1,5 @@
 package shalepaddle.node;
 
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufAllocator;
-import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
@@ -11,6 +8,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import shalepaddle.engine.Call;
+import shalepaddle.engine.Reply;
+import shalepaddle.engine.ServerReply;
 import shalepaddle.model.LoadReport;
 import shalepaddle.model.MembershipUpdate;
 import shalepaddle.model.Outcome;
@@ -47,7 +47,7 @@
   private final Balancer balancer;
   private final ServerPools pools;
   private final DiscoveryClient discovery;
-  private final Map<String, OpenRequest> open = new HashMap<>();
+  private final Map<String, Exchange> open = new HashMap<>();
   private final ArrayDeque<Event> events = new ArrayDeque<>();
 
   /** When this node must have answered all, if it is about to end. */
@@ -121,16 +121,16 @@
   private void rescue() {
     if (!rescuing) {
       rescuing = true;
-      List<OpenRequest> doubtful = new ArrayList<>(open.values());
+      List<Exchange> doubtful = new ArrayList<>(open.values());
       loop.schedule(() -> rescue(doubtful), RESCUE_MILLIS, TimeUnit.MILLISECONDS);
     }
   }
 
-  private void rescue(List<OpenRequest> doubtful) {
+  private void rescue(List<Exchange> doubtful) {
     long now = System.nanoTime();
-    for (OpenRequest request : doubtful) {
+    for (Exchange request : doubtful) {
       if (!request.ended && now - request.deadlineNanos > 0) {
-        end(request, "SERVER_ERROR failed");
+        end(request, new Reply.Failed(request.mayHaveRun()));
       }
     }
     doubtful.removeIf(request -> request.ended);
@@ -148,18 +148,18 @@
   // What clients do.
 
   /** Takes a client's request; null if another one has its id. */
-  OpenRequest request(MetaCommand command, ClientHandler.Slot slot) {
-    if (open.containsKey(command.request.id())) {
-      command.release();
+  Exchange submit(Call call) {
+    if (open.containsKey(call.request().id())) {
+      call.payload().release();
       return null;
     }
     long now = loopClock.look();
-    Request asked = command.request;
+    Request asked = call.request();
     if (ending) {
       asked = asked.within(Math.max(0, answerBy - now) / 1e9);
     }
     Request taken = asked;
-    OpenRequest request = new OpenRequest(command, slot, now + (long) (taken.budget() * 1e9));
+    Exchange request = new Exchange(call, now + (long) (taken.budget() * 1e9));
     open.put(request.id(), request);
     // Guards against deciding, right after a pause, on what was known before it, and against
     // writing
@@ -168,7 +168,7 @@
     return request;
   }
 
-  private void begin(OpenRequest request, Request taken) {
+  private void begin(Exchange request, Request taken) {
     if (request.ended) {
       return;
     }
@@ -178,7 +178,7 @@
             balancer.request(at, taken);
           } catch (RuntimeException | StackOverflowError e) {
             report("decision module", e);
-            end(request, "SERVER_ERROR failed");
+            end(request, new Reply.Failed(request.mayHaveRun()));
           }
         });
   }
@@ -203,7 +203,7 @@
   }
 
   /** The client has closed its connection. */
-  void clientGone(OpenRequest request) {
+  void clientGone(Exchange request) {
     if (request.ended) {
       return;
     }
@@ -227,10 +227,11 @@
       return;
     }
     attempt.over = true;
+    attempt.provenNotRun = result.provesNotRun();
     if (attempt.timeout != null) {
       attempt.timeout.cancel();
     }
-    OpenRequest request = attempt.request;
+    Exchange request = attempt.request;
     double elapsed = (loopClock.look() - attempt.sentAt) / 1e9;
     double unheard = (loopClock.stood() - attempt.stoodBefore) / 1e9;
     tell(
@@ -256,33 +257,26 @@
   }
 
   /** A reply has come, whole. */
-  void replied(Attempt attempt, MetaReply reply, ByteBufAllocator allocator) {
-    OpenRequest request = attempt.request;
+  void replied(Attempt attempt, ServerReply reply) {
+    Exchange request = attempt.request;
     if (reply.result() == Outcome.Result.OK && !request.ended) {
       request.ended = true;
-      request.slot.whole(answer(allocator, reply));
+      give(
+          request,
+          reply.value() != null
+              ? new Reply.Value(reply.value().retain())
+              : new Reply.Receipt(reply.receipt()));
     }
     ended(attempt, reply.result(), reply.note(), reply.load());
   }
 
-  private static ByteBuf answer(ByteBufAllocator allocator, MetaReply reply) {
-    int size = reply.value() != null ? reply.value().readableBytes() : 0;
-    ByteBuf bytes = allocator.buffer(reply.id().length() + 48 + size);
-    if (reply.length() < 0) {
-      ByteBufUtil.writeAscii(bytes, "HD O");
-      ByteBufUtil.writeAscii(bytes, reply.id());
-      if (reply.receipt() != null) {
-        ByteBufUtil.writeAscii(bytes, " c");
-        ByteBufUtil.writeAscii(bytes, reply.receipt());
-      }
-    } else {
-      ByteBufUtil.writeAscii(bytes, "VA ");
-      ByteBufUtil.writeAscii(bytes, Integer.toString(reply.length()));
-      ByteBufUtil.writeAscii(bytes, " O");
-      ByteBufUtil.writeAscii(bytes, reply.id());
+  /** Guards against a sink that fails: what else is open must not suffer. */
+  private void give(Exchange request, Reply reply) {
+    try {
+      request.call.sink().reply(reply);
+    } catch (RuntimeException e) {
+      report("reply sink", e);
     }
-    bytes.writeShort(0x0D0A);
-    return size > 0 ? bytes.writeBytes(reply.value(), reply.value().readerIndex(), size) : bytes;
   }
 
   // What discovery says.
@@ -317,7 +311,7 @@
 
   @Override
   public void send(String requestId, long server, double timeout) {
-    OpenRequest request = open.get(requestId);
+    Exchange request = open.get(requestId);
     if (request == null) {
       log.line("send for unknown request " + requestId);
       return;
@@ -349,7 +343,7 @@
 
   @Override
   public void cancel(String requestId, int number) {
-    OpenRequest request = open.get(requestId);
+    Exchange request = open.get(requestId);
     if (request != null && number < request.attempts.size()) {
       withdraw(request.attempts.get(number), Outcome.Result.CANCELLED);
     }
@@ -358,26 +352,27 @@
   @Override
   public void refuse(String requestId, double retryAfter) {
     long millis = Math.round(retryAfter * 1e3);
-    end(open.get(requestId), "SERVER_ERROR busy" + (millis > 0 ? " " + millis : ""));
+    end(open.get(requestId), new Reply.Refused(millis));
   }
 
   @Override
   public void fail(String requestId) {
-    end(open.get(requestId), "SERVER_ERROR failed");
+    Exchange request = open.get(requestId);
+    end(request, request == null ? null : new Reply.Failed(request.mayHaveRun()));
   }
 
-  private void end(OpenRequest request, String answer) {
+  private void end(Exchange request, Reply reply) {
     if (request != null && !request.ended) {
       request.ended = true;
-      request.slot.line(answer);
+      give(request, reply);
       settle(request);
     }
   }
 
   /** Forgets what is over. */
-  private void settle(OpenRequest request) {
+  private void settle(Exchange request) {
     if (request.ended) {
-      request.command.release();
+      request.call.payload().release();
       if (request.out == 0) {
         open.remove(request.id(), request);
       }
--- a/engine/src/main/java/shalepaddle/node/OpenRequest.java
+++ b/engine/src/main/java/shalepaddle/node/Exchange.java
@@ -2,11 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import shalepaddle.engine.Call;
 
 /** A request that this node has taken, from its last byte to its final answer and last outcome. */
-final class OpenRequest {
-  final MetaCommand command;
-  final ClientHandler.Slot slot;
+final class Exchange {
+  final Call call;
   final long deadlineNanos;
   final List<Attempt> attempts = new ArrayList<>(1);
 
@@ -16,13 +16,17 @@
   /** Whether the final answer is given, or the client has gone. */
   boolean ended;
 
-  OpenRequest(MetaCommand command, ClientHandler.Slot slot, long deadlineNanos) {
-    this.command = command;
-    this.slot = slot;
+  Exchange(Call call, long deadlineNanos) {
+    this.call = call;
     this.deadlineNanos = deadlineNanos;
   }
 
   String id() {
-    return command.request.id();
+    return call.request().id();
+  }
+
+  /** Whether an attempt may have been carried out, or may yet be. */
+  boolean mayHaveRun() {
+    return attempts.stream().anyMatch(Attempt::mayHaveRun);
   }
 }
--- a/engine/src/main/java/shalepaddle/node/MetaCommand.java
+++ b/engine/src/main/java/shalepaddle/node/MetaCommand.java
@@ -4,16 +4,20 @@
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.ByteToMessageDecoder;
-import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Set;
 import shalepaddle.model.Request;
 
 /**
- * A command as a client sent it. A write keeps its value until the request has ended, for a second
- * attempt; the budget bounds what all of them keep.
+ * A command as it was read off a client's connection.
+ *
+ * @param reply what to answer at once, null for a request that goes to a cache server
+ * @param lost whether the client's bytes can no longer be told apart, so that its connection must
+ *     close
+ * @param request what it asks for, null where it is answered at once
+ * @param payload what is passed on, null where it is answered at once
  */
-final class MetaCommand {
+record MetaCommand(String reply, boolean lost, Request request, MetaPayload payload) {
   /** Longest key, as in memcached. */
   private static final int MAX_KEY = 250;
 
@@ -22,60 +26,14 @@
   /** Longest deadline in milliseconds that is believed: it bounds what a request can hold. */
   private static final int MAX_DEADLINE = 60_000;
 
-  /** What to answer at once, null for a request that goes to a cache server. */
-  final String reply;
-
-  /** Whether the client's bytes can no longer be told apart, so that its connection must close. */
-  final boolean lost;
-
-  final Request request;
-  private final byte[] line;
-  private final int deadlineStart;
-  private final int deadlineEnd;
-  private final MemoryBudget budget;
-  private ByteBuf value;
-
   private MetaCommand(String reply, boolean lost) {
-    this(reply, lost, null, null, 0, 0, null);
-  }
-
-  private MetaCommand(
-      String reply,
-      boolean lost,
-      Request request,
-      byte[] line,
-      int deadlineStart,
-      int deadlineEnd,
-      MemoryBudget budget) {
-    this.reply = reply;
-    this.lost = lost;
-    this.request = request;
-    this.line = line;
-    this.deadlineStart = deadlineStart;
-    this.deadlineEnd = deadlineEnd;
-    this.budget = budget;
-  }
-
-  /**
-   * The bytes for a cache server: the client's own, but for the deadline, which tells how long this
-   * node will wait.
-   */
-  ByteBuf encode(ByteBufAllocator allocator, long millis) {
-    byte[] deadline = Long.toString(Math.max(1, millis)).getBytes(StandardCharsets.US_ASCII);
-    ByteBuf head = allocator.buffer(line.length + deadline.length + 2);
-    head.writeBytes(line, 0, deadlineStart).writeBytes(deadline);
-    head.writeBytes(line, deadlineEnd, line.length - deadlineEnd).writeShort(0x0D0A);
-    return value == null
-        ? head
-        : allocator.compositeBuffer(2).addComponents(true, head, value.retainedDuplicate());
+    this(reply, lost, null, null);
   }
 
-  /** Lets the value go: no further attempt can follow. Those being written keep their own hold. */
+  /** Lets go what it holds. */
   void release() {
-    if (value != null) {
-      budget.release(value.capacity());
-      value.release();
-      value = null;
+    if (payload != null) {
+      payload.release();
     }
   }
 
@@ -141,8 +99,8 @@
     private void readValue(ByteBuf in, List<Object> out) throws MetaLine.MalformedException {
       int bytes = Math.min(in.readableBytes(), missing - 2);
       if (bytes > 0) {
-        if (write.value != null) {
-          write.value.writeBytes(in, bytes);
+        if (write.payload != null) {
+          write.payload.append(in, bytes);
         } else {
           in.skipBytes(bytes);
         }
@@ -152,8 +110,8 @@
         MetaLine.readEnd(in);
         MetaCommand whole = write;
         write = null;
-        if (whole.value != null) {
-          whole.value.writeShort(0x0D0A);
+        if (whole.payload != null) {
+          whole.payload.end();
         }
         out.add(whole);
       }
@@ -186,12 +144,10 @@
       }
       MetaCommand command = flags(line, key, sets, wrong);
       if (sets) {
-        if (command.request != null && !budget.reserve(length + 2)) {
+        if (command.request != null && !command.payload.reserve(allocator, length)) {
           // Guards against more writes at once than there is memory for: this one is read and
           // dropped, and refused, which is true since it has never gone out.
           command = new MetaCommand("SERVER_ERROR busy", false);
-        } else if (command.request != null) {
-          command.value = allocator.buffer(length + 2, length + 2);
         }
         write = command;
         missing = length + 2;
@@ -261,7 +217,8 @@
       }
       Request request =
           new Request(id, key, serviceClass, tenant, deadline / 1e3, work, size, repeat, sets);
-      return new MetaCommand(null, false, request, line.bytes, deadlineStart, deadlineEnd, budget);
+      MetaPayload payload = new MetaPayload(line.bytes, deadlineStart, deadlineEnd, budget);
+      return new MetaCommand(null, false, request, payload);
     }
 
     private void dropWrite() {
--- /dev/null
+++ b/engine/src/main/java/shalepaddle/node/MetaReplies.java
@@ -0,0 +1,60 @@
+package shalepaddle.node;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import shalepaddle.engine.Reply;
+
+/** Puts answers into the words of the meta protocol. */
+final class MetaReplies {
+  /**
+   * A value up to this size is copied behind its line: one buffer costs less than three, and the
+   * one that it was read into is not held for a slow reader. A larger one is passed on as it is.
+   */
+  private static final int COPIED = 2048;
+
+  private static final ByteBuf CRLF =
+      Unpooled.unreleasableBuffer(Unpooled.wrappedBuffer(new byte[] {'\r', '\n'}).asReadOnly());
+
+  private MetaReplies() {}
+
+  /** The answer's bytes; a value that it holds is used up. */
+  static ByteBuf encode(ByteBufAllocator allocator, String id, Reply reply) {
+    if (reply instanceof Reply.Value served) {
+      return value(allocator, id, served.value());
+    }
+    return line(
+        allocator,
+        reply instanceof Reply.Receipt written
+            ? "HD O" + id + " c" + written.receipt()
+            : reply instanceof Reply.Refused refused && refused.retryAfterMillis() > 0
+                ? "SERVER_ERROR busy " + refused.retryAfterMillis()
+                : reply instanceof Reply.Refused ? "SERVER_ERROR busy" : "SERVER_ERROR failed");
+  }
+
+  static ByteBuf line(ByteBufAllocator allocator, String text) {
+    ByteBuf line = allocator.buffer(text.length() + 2);
+    ByteBufUtil.writeAscii(line, text);
+    return line.writeShort(0x0D0A);
+  }
+
+  private static ByteBuf value(ByteBufAllocator allocator, String id, ByteBuf value) {
+    int length = value.readableBytes();
+    boolean copied = length <= COPIED;
+    ByteBuf head = allocator.buffer(id.length() + 16 + (copied ? length + 2 : 0));
+    ByteBufUtil.writeAscii(head, "VA ");
+    ByteBufUtil.writeAscii(head, Integer.toString(length));
+    ByteBufUtil.writeAscii(head, " O");
+    ByteBufUtil.writeAscii(head, id);
+    head.writeShort(0x0D0A);
+    if (copied) {
+      try {
+        return head.writeBytes(value, value.readerIndex(), length).writeShort(0x0D0A);
+      } finally {
+        value.release();
+      }
+    }
+    return allocator.compositeBuffer(3).addComponents(true, head, value, CRLF.duplicate());
+  }
+}
--- a/engine/src/main/java/shalepaddle/node/Node.java
+++ b/engine/src/main/java/shalepaddle/node/Node.java
@@ -105,7 +105,8 @@
   private final class Pauses implements LoopClock.Listener {
     @Override
     public void paused(long nanos) {
-      if (nanos > TOLD_NANOS) {
+      // Not while it starts: loading and compiling its classes is one long turn after the other.
+      if (nanos > TOLD_NANOS && listener != null) {
         log.line("stood still for " + nanos / 1_000_000 + " ms");
       }
       dispatcher.paused(nanos);
--- a/engine/src/main/java/shalepaddle/node/ServerConnection.java
+++ b/engine/src/main/java/shalepaddle/node/ServerConnection.java
@@ -9,6 +9,7 @@
 import java.io.IOException;
 import java.net.SocketAddress;
 import java.util.ArrayDeque;
+import shalepaddle.engine.ServerReply;
 import shalepaddle.model.Outcome;
 
 /**
@@ -21,7 +22,7 @@
 
   private final ServerPool pool;
   private final Dispatcher dispatcher;
-  private final MetaReply.Decoder decoder = new MetaReply.Decoder();
+  private final MetaReplyDecoder decoder = new MetaReplyDecoder();
   private final ArrayDeque<Attempt> underWay = new ArrayDeque<>();
   private final LoopClock clock;
   private final long openedAt;
@@ -115,7 +116,7 @@
     usedAt = now;
     long millis = (attempt.deadlineNanos - usedAt + 999_999) / 1_000_000;
     ChannelFuture written =
-        channel.writeAndFlush(attempt.request.command.encode(channel.alloc(), millis));
+        channel.writeAndFlush(MetaRequests.encode(channel.alloc(), attempt.request.call, millis));
     if (written.isDone()) {
       attempt.written = written.isSuccess();
     } else {
@@ -149,7 +150,7 @@
   public void channelRead(ChannelHandlerContext ctx, Object message) {
     heard();
     reading = true;
-    MetaReply reply = (MetaReply) message;
+    ServerReply reply = (ServerReply) message;
     try {
       reply(reply);
     } finally {
@@ -159,7 +160,7 @@
     }
   }
 
-  private void reply(MetaReply reply) {
+  private void reply(ServerReply reply) {
     if (closed || spoilt) {
       return;
     }
@@ -176,7 +177,7 @@
     lastId = head.request.id();
     rested(false);
     if (!head.over) {
-      dispatcher.replied(head, reply, channel.alloc());
+      dispatcher.replied(head, reply);
     }
     if (!underWay.poll().abandoned) {
       awaited--;
--- a/engine/src/main/java/shalepaddle/node/Warmup.java
+++ b/engine/src/main/java/shalepaddle/node/Warmup.java
@@ -189,8 +189,8 @@
             new SimpleChannelInboundHandler<MetaCommand>() {
               @Override
               protected void channelRead0(ChannelHandlerContext ctx, MetaCommand command) {
-                String id = command.request.id();
-                boolean write = command.request.write();
+                String id = command.request().id();
+                boolean write = command.request().write();
                 ByteBuf reply = ctx.alloc().buffer();
                 ByteBufUtil.writeAscii(
                     reply, write ? "HD O" + id + " c1\r\n" : "VA 8 O" + id + " h1\r\nwarm-up!\r\n");
--- /dev/null
+++ b/engine/src/test/java/shalepaddle/node/MetaRepliesTest.java
@@ -0,0 +1,78 @@
+package shalepaddle.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.Unpooled;
+import io.netty.buffer.UnpooledByteBufAllocator;
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import shalepaddle.engine.Call;
+import shalepaddle.engine.Payload;
+import shalepaddle.engine.Reply;
+import shalepaddle.model.Request;
+
+/** Requests and answers in the words of the meta protocol, and who holds their bytes. */
+class MetaRepliesTest {
+  private static final ByteBufAllocator ALLOCATOR = UnpooledByteBufAllocator.DEFAULT;
+
+  private static String used(ByteBuf bytes) {
+    String text = bytes.toString(StandardCharsets.ISO_8859_1);
+    bytes.release();
+    assertEquals(0, bytes.refCnt());
+    return text;
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {0, 1, 2048, 2049, 65536})
+  void aValueIsUsedUpByItsAnswer(int length) {
+    String text = "x".repeat(length);
+    ByteBuf value = Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1);
+    ByteBuf answer = MetaReplies.encode(ALLOCATOR, "a1", new Reply.Value(value));
+    assertEquals("VA " + length + " Oa1\r\n" + text + "\r\n", used(answer));
+    assertEquals(0, value.refCnt());
+  }
+
+  @Test
+  void otherAnswersAreLines() {
+    assertEquals(
+        "HD Oa1 c7\r\n", used(MetaReplies.encode(ALLOCATOR, "a1", new Reply.Receipt("7"))));
+    assertEquals(
+        "SERVER_ERROR busy\r\n", used(MetaReplies.encode(ALLOCATOR, "a1", new Reply.Refused(0))));
+    assertEquals(
+        "SERVER_ERROR busy 40\r\n",
+        used(MetaReplies.encode(ALLOCATOR, "a1", new Reply.Refused(40))));
+    assertEquals(
+        "SERVER_ERROR failed\r\n",
+        used(MetaReplies.encode(ALLOCATOR, "a1", new Reply.Failed(true))));
+  }
+
+  /** A payload of another front: a value, and a key by which servers know it again. */
+  private record Plain(ByteBuf value, String idempotencyKey) implements Payload {
+    @Override
+    public void release() {
+      value.release();
+    }
+  }
+
+  @Test
+  void aRequestOfAnotherFrontIsPutIntoWords() {
+    Request read = new Request("r1", "square", "read", null, 1, 0, 0, false, false);
+    assertEquals(
+        "mg square v Or1 Pc=read,d=250\r\n",
+        used(MetaRequests.encode(ALLOCATOR, new Call(read, Payload.NONE, reply -> {}), 250)));
+    Request write = new Request("w1", "square", "put", "acme", 1, 0, 0, true, true);
+    Plain payload = new Plain(Unpooled.copiedBuffer("a\r\nb", StandardCharsets.ISO_8859_1), "5c0f");
+    Call call = new Call(write, payload, reply -> {});
+    for (int attempt = 0; attempt < 2; attempt++) {
+      assertEquals(
+          "ms square 4 Ow1 Pc=put,t=acme,d=1,k=5c0f,r=1\r\na\r\nb\r\n",
+          used(MetaRequests.encode(ALLOCATOR, call, 0)));
+    }
+    assertEquals(1, payload.value().refCnt());
+    payload.release();
+  }
+}
--- /dev/null
+++ b/engine/src/test/java/shalepaddle/node/SinkTest.java
@@ -0,0 +1,141 @@
+package shalepaddle.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import shalepaddle.engine.Call;
+import shalepaddle.engine.Payload;
+import shalepaddle.engine.Reply;
+import shalepaddle.engine.ReplySink;
+import shalepaddle.model.Request;
+
+/** A front that is no socket: calls handed to the engine, and what their sinks are given. */
+class SinkTest {
+  private final BlockingQueue<Reply> replies = new LinkedBlockingQueue<>();
+  private NodeRig rig;
+
+  @BeforeEach
+  void start() throws Exception {
+    rig = new NodeRig();
+  }
+
+  @AfterEach
+  void stop() throws Exception {
+    rig.close();
+  }
+
+  /** A value that tells when it has been let go. */
+  private static final class Value implements Payload {
+    private final ByteBuf bytes = Unpooled.copiedBuffer("value", StandardCharsets.US_ASCII);
+
+    @Override
+    public ByteBuf value() {
+      return bytes;
+    }
+
+    @Override
+    public void release() {
+      if (bytes.refCnt() > 0) {
+        bytes.release();
+      }
+    }
+  }
+
+  private static Request request(String id, boolean write, double budget) {
+    return new Request(id, "key", write ? "put" : "read", null, budget, 0, 0, false, write);
+  }
+
+  private Exchange submit(Request request, Payload payload, ReplySink sink) throws Exception {
+    return rig.node
+        .loop()
+        .submit(() -> rig.node.dispatcher().submit(new Call(request, payload, sink)))
+        .get();
+  }
+
+  private Reply next() throws InterruptedException {
+    Reply reply = replies.poll(Peer.PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
+    assertTrue(reply != null, "no reply");
+    return reply;
+  }
+
+  @Test
+  void aReadIsServedWithItsValue() throws Exception {
+    submit(request("a1", false, 2), Payload.NONE, replies::add);
+    Peer cache = rig.acceptCache();
+    assertTrue(cache.line().matches("mg key v Oa1 Pc=read,d=\\d+"));
+    cache.write("VA 5 Oa1 h1\r\nabcde\r\n");
+    Reply.Value served = (Reply.Value) next();
+    assertEquals("abcde", served.value().toString(StandardCharsets.US_ASCII));
+    served.value().release();
+    assertNull(replies.poll());
+  }
+
+  @Test
+  void aWriteIsPassedOnAndItsValueLetGo() throws Exception {
+    Value value = new Value();
+    submit(request("w1", true, 2), value, replies::add);
+    Peer cache = rig.acceptCache();
+    assertTrue(cache.line().matches("ms key 5 Ow1 Pc=put,d=\\d+"));
+    assertEquals("value", cache.line());
+    cache.write("HD Ow1 c9\r\n");
+    assertEquals(new Reply.Receipt("9"), next());
+    rig.settled();
+    assertEquals(0, value.bytes.refCnt());
+  }
+
+  @Test
+  void aFailureTellsWhetherTheWriteMayHaveRun() throws Exception {
+    submit(request("w1", true, 2), new Value(), replies::add);
+    Peer cache = rig.acceptCache();
+    cache.line();
+    cache.line();
+    cache.write("SERVER_ERROR failed\r\n");
+    assertEquals(new Reply.Failed(true), next());
+    submit(request("w2", true, 2), new Value(), replies::add);
+    cache.line();
+    cache.line();
+    cache.write("SERVER_ERROR busy\r\n");
+    assertEquals(new Reply.Refused(0), next());
+  }
+
+  @Test
+  void aSinkThatThrowsHarmsNoOther() throws Exception {
+    Value value = new Value();
+    submit(
+        request("w1", true, 2),
+        value,
+        reply -> {
+          throw new IllegalStateException("on purpose");
+        });
+    Peer cache = rig.acceptCache();
+    cache.line();
+    cache.line();
+    cache.write("HD Ow1 c9\r\n");
+    submit(request("w2", true, 2), new Value(), replies::add);
+    cache.line();
+    cache.line();
+    cache.write("HD Ow2 c10\r\n");
+    assertEquals(new Reply.Receipt("10"), next());
+    assertEquals(0, value.bytes.refCnt());
+    // Nothing of it is left: its id may be used again.
+    assertTrue(submit(request("w1", true, 2), new Value(), replies::add) != null);
+  }
+
+  @Test
+  void aCallWhoseIdIsInUseIsNotTakenAndItsValueLetGo() throws Exception {
+    submit(request("w1", true, 2), new Value(), replies::add);
+    Value second = new Value();
+    assertNull(submit(request("w1", true, 2), second, replies::add));
+    assertEquals(0, second.bytes.refCnt());
+  }
+}
