Meet cache servers through a codec interface, with meta as the first

ServerConnection named the meta protocol's encoder and decoder, so that no server of another protocol could stand behind the same pools. ServerCodec writes a call and makes the reader of a connection's replies; the pools get it from whoever builds the node.

--- a/engine/src/main/java/shalepaddle/node/MetaReplyDecoder.java
+++ b/engine/src/main/java/shalepaddle/node/MetaReplyDecoder.java
@@ -2,10 +2,10 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.handler.codec.ByteToMessageDecoder;
 import io.netty.handler.codec.DecoderException;
 import java.util.Arrays;
 import java.util.List;
+import shalepaddle.engine.ServerCodec;
 import shalepaddle.engine.ServerReply;
 import shalepaddle.model.LoadReport;
 import shalepaddle.model.Outcome;
@@ -15,15 +15,15 @@
  * the protocol in its line, its length or its end spoils the connection, from which nothing more is
  * read then. Guards against serving a client with bytes that follow a spoilt answer.
  */
-final class MetaReplyDecoder extends ByteToMessageDecoder {
+final class MetaReplyDecoder extends ServerCodec.ReplyDecoder {
   /** A reply whose value is still to come, and how long that is. */
   private ServerReply head;
 
   private int length;
   private boolean spoilt;
 
-  /** Whether a reply has begun and not ended. */
-  boolean midway() {
+  @Override
+  public boolean midway() {
     return head != null || actualReadableBytes() > 0;
   }
 
--- a/engine/src/main/java/shalepaddle/node/MetaRequests.java
+++ b/engine/src/main/java/shalepaddle/node/MetaServerCodec.java
@@ -5,14 +5,18 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import shalepaddle.engine.Call;
+import shalepaddle.engine.ServerCodec;
 import shalepaddle.model.Request;
 
-/** Puts requests into the words of the meta protocol, for cache servers. */
-final class MetaRequests {
-  private MetaRequests() {}
+/** The meta protocol, as cache servers speak it. */
+final class MetaServerCodec implements ServerCodec {
+  @Override
+  public ReplyDecoder decoder() {
+    return new MetaReplyDecoder();
+  }
 
-  /** The bytes of an attempt that is waited for so long. */
-  static ByteBuf encode(ByteBufAllocator allocator, Call call, long millis) {
+  @Override
+  public ByteBuf encode(ByteBufAllocator allocator, Call call, long millis) {
     // What a client wrote in this protocol goes on as it came.
     return call.payload() instanceof MetaPayload own
         ? own.encode(allocator, millis)
--- a/engine/src/main/java/shalepaddle/node/Node.java
+++ b/engine/src/main/java/shalepaddle/node/Node.java
@@ -96,7 +96,7 @@
             .option(ChannelOption.ALLOCATOR, allocator)
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 0);
-    pools = new ServerPools(bootstrap, serverLimits(connections));
+    pools = new ServerPools(bootstrap, new MetaServerCodec(), serverLimits(connections));
     dispatcher = new Dispatcher(config, loop, clock, pools, log);
     this.allocator = allocator;
   }
--- a/engine/src/main/java/shalepaddle/node/ServerConnection.java
+++ b/engine/src/main/java/shalepaddle/node/ServerConnection.java
@@ -9,6 +9,7 @@
 import java.io.IOException;
 import java.net.SocketAddress;
 import java.util.ArrayDeque;
+import shalepaddle.engine.ServerCodec;
 import shalepaddle.engine.ServerReply;
 import shalepaddle.model.Outcome;
 
@@ -22,7 +23,8 @@
 
   private final ServerPool pool;
   private final Dispatcher dispatcher;
-  private final MetaReplyDecoder decoder = new MetaReplyDecoder();
+  private final ServerCodec codec;
+  private final ServerCodec.ReplyDecoder decoder;
   private final ArrayDeque<Attempt> underWay = new ArrayDeque<>();
   private final LoopClock clock;
   private final long openedAt;
@@ -54,8 +56,10 @@
   /** The id of the answer that came last, null if none did. */
   private String lastId;
 
-  ServerConnection(ServerPool pool, Dispatcher dispatcher) {
+  ServerConnection(ServerPool pool, ServerCodec codec, Dispatcher dispatcher) {
     this.pool = pool;
+    this.codec = codec;
+    decoder = codec.decoder();
     this.dispatcher = dispatcher;
     clock = dispatcher.clock();
     openedAt = clock.look();
@@ -116,7 +120,7 @@
     usedAt = now;
     long millis = (attempt.deadlineNanos - usedAt + 999_999) / 1_000_000;
     ChannelFuture written =
-        channel.writeAndFlush(MetaRequests.encode(channel.alloc(), attempt.request.call, millis));
+        channel.writeAndFlush(codec.encode(channel.alloc(), attempt.request.call, millis));
     if (written.isDone()) {
       attempt.written = written.isSuccess();
     } else {
--- a/engine/src/main/java/shalepaddle/node/ServerPool.java
+++ b/engine/src/main/java/shalepaddle/node/ServerPool.java
@@ -7,6 +7,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
+import shalepaddle.engine.ServerCodec;
 import shalepaddle.model.Outcome;
 
 /** This node's connections to one cache server. */
@@ -26,6 +27,7 @@
   record Limits(int connections, int total, int depth, long idleNanos, long connectNanos) {}
 
   private final Bootstrap bootstrap;
+  private final ServerCodec codec;
   private final Limits limits;
   private final ConnectionBudget budget;
   private final Dispatcher dispatcher;
@@ -41,11 +43,13 @@
 
   ServerPool(
       Bootstrap bootstrap,
+      ServerCodec codec,
       Limits limits,
       ConnectionBudget budget,
       Dispatcher dispatcher,
       SocketAddress address) {
     this.bootstrap = bootstrap;
+    this.codec = codec;
     this.limits = limits;
     this.budget = budget;
     this.dispatcher = dispatcher;
@@ -145,7 +149,7 @@
     budget.take();
     long began = clock.look();
     SocketAddress at = address;
-    ServerConnection connection = new ServerConnection(this, dispatcher);
+    ServerConnection connection = new ServerConnection(this, codec, dispatcher);
     ChannelFuture future = connection.open(bootstrap, address);
     // Not by the bootstrap's own time-out: after a pause it may come before what has come up is
     // looked at, and a server that runs would be taken for one that has vanished.
--- a/engine/src/main/java/shalepaddle/node/ServerPools.java
+++ b/engine/src/main/java/shalepaddle/node/ServerPools.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import shalepaddle.engine.ServerCodec;
 import shalepaddle.model.Outcome;
 import shalepaddle.model.ServerEntry;
 
@@ -12,12 +13,14 @@
 final class ServerPools {
   private final Map<Long, ServerPool> pools = new HashMap<>();
   private final Bootstrap bootstrap;
+  private final ServerCodec codec;
   private final ServerPool.Limits limits;
   private final ConnectionBudget budget;
   private Dispatcher dispatcher;
 
-  ServerPools(Bootstrap bootstrap, ServerPool.Limits limits) {
+  ServerPools(Bootstrap bootstrap, ServerCodec codec, ServerPool.Limits limits) {
     this.bootstrap = bootstrap;
+    this.codec = codec;
     this.limits = limits;
     this.budget = new ConnectionBudget(limits.total());
   }
@@ -35,7 +38,8 @@
       gone.remove(entry.id());
       ServerPool pool =
           pools.computeIfAbsent(
-              entry.id(), id -> new ServerPool(bootstrap, limits, budget, owner, member.address()));
+              entry.id(),
+              id -> new ServerPool(bootstrap, codec, limits, budget, owner, member.address()));
       pool.listed(member.address(), entry.startedAt(), now);
     }
     for (long id : gone) {
--- a/engine/src/main/java/shalepaddle/node/Warmup.java
+++ b/engine/src/main/java/shalepaddle/node/Warmup.java
@@ -176,6 +176,7 @@
     ServerPools pools =
         new ServerPools(
             bootstrap,
+            new MetaServerCodec(),
             new ServerPool.Limits(
                 2, 2 * SERVERS, 2, TimeUnit.MINUTES.toNanos(1), TimeUnit.SECONDS.toNanos(1)));
     return new Dispatcher(own, loop, clock, pools, log);
