--- /dev/null
+++ b/benchmarks/src/main/java/shalepaddle/benchmarks/Benchmarks.java
@@ -0,0 +1,19 @@
+package shalepaddle.benchmarks;
+
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+
+/** The measurements, each a command. */
+@Command(
+    name = "benchmarks",
+    description = "Measures whole processes, side by side in one run.",
+    mixinStandardHelpOptions = true,
+    subcommands = {BesideRelay.class, PastCapacity.class})
+public final class Benchmarks {
+  private Benchmarks() {}
+
+  /** Runs the measurement that the first word names. */
+  public static void main(String[] args) {
+    System.exit(new CommandLine(new Benchmarks()).execute(args));
+  }
+}
--- a/cli/src/main/java/shalepaddle/cli/Embedded.java
+++ b/cli/src/main/java/shalepaddle/cli/Embedded.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import org.HdrHistogram.Histogram;
 import shalepaddle.config.NodeConfig;
+import shalepaddle.config.OperatorFile;
 import shalepaddle.node.Node;
 import shalepaddle.settings.FormatException;
 import shalepaddle.settings.JsonObject;
@@ -84,7 +85,7 @@
           });
       discovery.start().sync();
       String list = on(servers, discovery::list);
-      node = new Node(NodeConfig.parse(JsonObject.parse(config(port, list))));
+      node = new Node(NodeConfig.parse(JsonObject.parse(config(port, list))), OperatorFile.USUAL);
       InetSocketAddress address = node.start();
       clients = new StandInClients(callers, ledger, traffic, GRACE_MILLIS, MAX_CONNECTIONS, SEED);
       on(
--- a/cli/src/main/java/shalepaddle/cli/Main.java
+++ b/cli/src/main/java/shalepaddle/cli/Main.java
@@ -8,6 +8,7 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.IVersionProvider;
 import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
 import picocli.CommandLine.Spec;
 import shalepaddle.node.Node;
 import shalepaddle.settings.FormatException;
@@ -64,9 +65,15 @@
       description = "Serves as the configuration says that ROUTER_CONFIG names.",
       mixinStandardHelpOptions = true)
   static final class Serve implements Callable<Integer> {
+    @Option(
+        names = "--operator",
+        paramLabel = "FILE",
+        description = "What the operator sets, such as deploy/operator.toml.")
+    private String operator;
+
     @Override
     public Integer call() throws InterruptedException {
-      return Node.serve(System.getenv("ROUTER_CONFIG"));
+      return Node.serve(System.getenv("ROUTER_CONFIG"), operator);
     }
   }
 
@@ -96,7 +103,7 @@
   static final class Rehearse implements Callable<Integer> {
     @Override
     public Integer call() throws InterruptedException {
-      return Node.rehearse();
+      return Node.rehearse(null);
     }
   }
 }
--- /dev/null
+++ b/core/src/main/java/shalepaddle/overload/Admission.java
@@ -0,0 +1,163 @@
+package shalepaddle.overload;
+
+import java.util.Arrays;
+import java.util.SplittableRandom;
+
+/**
+ * Which requests are admitted while the processor is short, decided from a request's tier alone.
+ *
+ * <p>Ten times a second the {@link LoadLimit} is dealt out over the tiers by what came of each
+ * lately, from the one that is worth most down: tiers above the brink pass whole, the one on it in
+ * part, and of those below only a small part, which keeps telling what they would cost and lets no
+ * tier be locked out for good. The brink moves smoothly, since the tier on it is admitted by chance
+ * and not by turns. Repeats keep, besides, within a share of the first tries that were admitted:
+ * where all is refused, repeats multiply the load that makes it so.
+ *
+ * <p>Time is an argument, in nanoseconds. Not thread-safe: it belongs to one event loop.
+ */
+public final class Admission {
+  /** Weight of the last interval in what is thought to come: storms rise within some of them. */
+  private static final double FRESH = 0.5;
+
+  /** Repeats that may be saved up. */
+  private static final double REPEAT_BURST = 20;
+
+  private static final double LONGEST_ADVICE = 5;
+
+  private final Tuning tuning;
+  private final LoadLimit limit;
+  private final SplittableRandom random;
+  private final double[] offeredRates;
+  private final double[] passing;
+  private final int[] offered;
+  private final long[] offeredInAll;
+  private final long[] refusedInAll;
+  private long begunAt;
+  private boolean begun;
+  private boolean known;
+  private int admitted;
+  private double repeatTokens = REPEAT_BURST;
+  private long repeatsRefused;
+
+  /** Admits all, until the event loop falls behind. */
+  public Admission(Tuning tuning, Tiers tiers, long seed) {
+    this.tuning = tuning;
+    limit = new LoadLimit(tuning.target());
+    random = new SplittableRandom(seed);
+    offeredRates = new double[tiers.count()];
+    passing = new double[tiers.count()];
+    offered = new int[tiers.count()];
+    offeredInAll = new long[tiers.count()];
+    refusedInAll = new long[tiers.count()];
+    Arrays.fill(passing, 1);
+  }
+
+  /** Whether requests may be refused now: while not, none needs to be asked about. */
+  public boolean limited() {
+    return limit.limited();
+  }
+
+  /**
+   * A request has come; whether it is admitted. What is not must be refused, and never sent on.
+   *
+   * @param tier as {@link Tiers} has it
+   * @param repeat whether its client has tried before
+   */
+  public boolean admits(int tier, boolean repeat) {
+    offered[tier]++;
+    offeredInAll[tier]++;
+    boolean pass = passing[tier] >= 1 || random.nextDouble() < passing[tier];
+    if (pass && limited()) {
+      if (!repeat) {
+        repeatTokens = Math.min(REPEAT_BURST, repeatTokens + tuning.repeats());
+      } else if (repeatTokens >= 1) {
+        repeatTokens--;
+      } else {
+        repeatsRefused++;
+        pass = false;
+      }
+    }
+    if (pass) {
+      admitted++;
+    } else {
+      refusedInAll[tier]++;
+    }
+    return pass;
+  }
+
+  /**
+   * How long a refused client should stay away, in seconds: as many times the least as there are
+   * more requests than are admitted, and by up to half more or less, so that those who were refused
+   * together don't come back together.
+   */
+  public double advice() {
+    double excess = limited() ? Math.max(1, sum(offeredRates) / limit.limit()) : 1;
+    double spread = 0.5 + random.nextDouble();
+    return Math.min(LONGEST_ADVICE, tuning.advice() * excess * spread);
+  }
+
+  /** An interval ends in which so many seconds of delay stood in the event loop. */
+  public void interval(double stood, long now) {
+    double seconds = begun ? Math.max(1e-3, (now - begunAt) / 1e9) : 0;
+    begunAt = now;
+    if (!begun) {
+      begun = true;
+    } else {
+      for (int tier = 0; tier < offered.length; tier++) {
+        double rate = offered[tier] / seconds;
+        // The first interval is all that is known: overload may begin with the first request.
+        offeredRates[tier] += (known ? FRESH : 1) * (rate - offeredRates[tier]);
+      }
+      known = true;
+      if (tuning.sheds()) {
+        limit.next(stood, admitted / seconds, sum(offeredRates));
+        dealOut();
+      }
+    }
+    Arrays.fill(offered, 0);
+    admitted = 0;
+  }
+
+  private void dealOut() {
+    double left = limit.limit();
+    for (int tier = 0; tier < passing.length; tier++) {
+      double rate = offeredRates[tier];
+      double pass = rate <= left ? 1 : left / rate;
+      passing[tier] = Math.max(tuning.learn(), pass);
+      left = Math.max(0, left - pass * rate);
+    }
+  }
+
+  private static double sum(double[] rates) {
+    double sum = 0;
+    for (double rate : rates) {
+      sum += rate;
+    }
+    return sum;
+  }
+
+  /** The part of a tier that is admitted, from 0 to 1. */
+  public double passing(int tier) {
+    return passing[tier];
+  }
+
+  /** Requests a second that may be admitted, infinite where there is no limit. */
+  public double limit() {
+    return limit.limit();
+  }
+
+  /** Requests of a tier that came, since the start. */
+  public long offered(int tier) {
+    return offeredInAll[tier];
+  }
+
+  /** Requests of a tier that were refused, since the start. */
+  public long refused(int tier) {
+    return refusedInAll[tier];
+  }
+
+  /** Repeats that were refused for want of first tries, since the start. */
+  public long repeatsRefused() {
+    return repeatsRefused;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/shalepaddle/overload/OverloadControl.java
@@ -0,0 +1,178 @@
+package shalepaddle.overload;
+
+import java.util.List;
+import java.util.function.Consumer;
+import java.util.stream.IntStream;
+import shalepaddle.model.Settings;
+
+/**
+ * All decisions on a load balancer's own overload in one place: fed with what is measured of the
+ * process, asked about each request and for the {@link Posture}.
+ *
+ * <p>Three things follow from a delay that stands in the event loop, from the outside in: requests
+ * are admitted by their worth, {@link Admission}; connections that send the most are read from by
+ * turns, {@link Posture#heavy}; and what has been read waits in the {@link Intake}, whose oldest
+ * item counts as delay too. Memory and descriptors have answers of their own.
+ *
+ * <p>Time is an argument, in nanoseconds. Not thread-safe: it belongs to one event loop.
+ */
+public final class OverloadControl {
+  /** The answer to a request that is admitted. */
+  public static final long ADMITTED = -1;
+
+  private final Settings settings;
+  private final Tuning tuning;
+  private final Tiers tiers;
+  private final OverloadMeter meter;
+  private final Admission admission;
+  private final TenantShares shares;
+  private final RepeatGuess guess = new RepeatGuess();
+  private Posture posture = Posture.CALM;
+  private double stood;
+  private double processor = Double.NaN;
+  private double memory;
+  private double descriptors;
+
+  /**
+   * All is calm.
+   *
+   * @param seed for what is refused by chance
+   * @param listener is told of changes of a level
+   */
+  public OverloadControl(
+      Settings settings, Tuning tuning, long seed, OverloadMeter.Listener listener) {
+    this.settings = settings;
+    this.tuning = tuning;
+    tiers = new Tiers(settings.services(), settings.overShareWorth());
+    admission = new Admission(tuning, tiers, seed);
+    shares = new TenantShares(settings.tenants(), settings.instances());
+    meter = new OverloadMeter(listener);
+  }
+
+  /** A queue for what was admitted and waits for its turn. */
+  public <T> Intake<T> intake(int most, Consumer<T> refused) {
+    return new Intake<>(tiers.count(), most, (long) (tuning.waits() * 1e9), refused);
+  }
+
+  /**
+   * A turn of the event loop ends.
+   *
+   * @param begunAt when it began, now for one in which nothing had come
+   * @param oldest how long the oldest item has waited in the {@link Intake}, 0 if none waits
+   */
+  public void turned(long begunAt, long now, long oldest) {
+    double ended = meter.turned(Math.min(begunAt, now - oldest), now, admission.limited());
+    if (!Double.isNaN(ended)) {
+      stood = ended;
+      admission.interval(ended, now);
+      pose();
+    }
+  }
+
+  /** The process did not run for so many nanoseconds, until now. */
+  public void paused(long nanos, long now) {
+    meter.paused(nanos, now);
+  }
+
+  /**
+   * So much is in use, each as a part of its limit; to be told some times in 100 ms.
+   *
+   * @param processorShare of the cores that the process may use, NaN if unknown: told on, and never
+   *     a reason to refuse, since a process that uses all it has and is on time serves everybody
+   * @param memoryShare of the heap or of the memory outside of it, whichever is higher
+   * @param descriptorShare of the file descriptors
+   */
+  public void uses(double processorShare, double memoryShare, double descriptorShare, long now) {
+    processor = processorShare;
+    memory = memoryShare;
+    descriptors = descriptorShare;
+    meter.uses(memoryShare, descriptorShare, now);
+    pose();
+  }
+
+  private void pose() {
+    posture = Posture.of(level(Resource.CPU), level(Resource.MEMORY), level(Resource.DESCRIPTORS));
+  }
+
+  /** Whether requests may be refused now. */
+  public boolean shedding() {
+    return admission.limited();
+  }
+
+  /**
+   * A request has come.
+   *
+   * @param serviceClass the place of its class in the settings
+   * @param tenant the place of its tenant there, -1 for none that is known
+   * @param subject a hash of its key
+   * @param marked whether its client marked it as a repeat
+   * @return {@link #ADMITTED}, or in how many milliseconds its client should come again, 0 for no
+   *     advice
+   */
+  public long ask(int serviceClass, int tenant, long subject, boolean marked, long now) {
+    boolean pastShare = shares.pastShare(tenant, now);
+    if (!admission.limited()) {
+      // Counted, and a repeat is of no matter yet: nothing was refused here.
+      admission.admits(tiers.of(serviceClass, marked, pastShare), marked);
+      return ADMITTED;
+    }
+    boolean repeat =
+        marked || (!settings.marksRepeats() && guess.looksRepeated(subject, serviceClass, now));
+    if (admission.admits(tiers.of(serviceClass, repeat, pastShare), repeat)) {
+      return ADMITTED;
+    }
+    if (!settings.marksRepeats()) {
+      guess.refused(subject, serviceClass, now);
+    }
+    return advice();
+  }
+
+  /** Milliseconds for which a client that is refused now should stay away, 0 for no advice. */
+  public long advice() {
+    return settings.limits().advisesRetry()
+        ? Math.round(1e3 * Math.min(settings.limits().maxRetryAfter(), admission.advice()))
+        : 0;
+  }
+
+  /** The tier of an admitted request, for its place in the intake; the last one if unknown. */
+  public int tier(String serviceClass, boolean repeat) {
+    for (int i = 0; i < settings.services().size(); i++) {
+      if (settings.services().get(i).name().equals(serviceClass)) {
+        return tiers.of(i, repeat, false);
+      }
+    }
+    return tiers.count() - 1;
+  }
+
+  /** What to do without now. */
+  public Posture posture() {
+    return posture;
+  }
+
+  /** How short the process is of this. */
+  public Level level(Resource resource) {
+    return meter.level(resource);
+  }
+
+  /** What an operator may want to see, as it stands now. */
+  public OverloadReading reading() {
+    List<OverloadReading.Tier> each =
+        IntStream.range(0, tiers.count())
+            .mapToObj(
+                tier ->
+                    new OverloadReading.Tier(
+                        admission.passing(tier), admission.offered(tier), admission.refused(tier)))
+            .toList();
+    return new OverloadReading(
+        level(Resource.CPU),
+        level(Resource.MEMORY),
+        level(Resource.DESCRIPTORS),
+        stood,
+        processor,
+        memory,
+        descriptors,
+        admission.limit(),
+        admission.repeatsRefused(),
+        each);
+  }
+}
--- a/core/src/main/java/shalepaddle/overload/OverloadMeter.java
+++ b/core/src/main/java/shalepaddle/overload/OverloadMeter.java
@@ -9,19 +9,20 @@
  *
  * <p>CPU is judged by the delay that stands in the event loop, not by the share of the processor in
  * use: a loop that is busy all the time and never late serves everybody, and where others take the
- * processor away it is late with little use of its own. Memory and descriptors are judged by the
- * part of the limit that is in use, memory by what stands over an interval, so that garbage which
- * the next collection takes does not count.
+ * processor away it is late with little use of its own. The delay is the length of the loop's
+ * turns: how late a timer runs tells it too, but a timer comes due anywhere in a turn, so that the
+ * least of some such delays is next to nothing however long the turns are. Memory and descriptors
+ * are judged by the part of the limit that is in use, memory by what stands over an interval, so
+ * that garbage which the next collection takes does not count.
  *
  * <p>Not thread-safe: it belongs to the event loop that it measures.
  */
 public final class OverloadMeter {
   /**
-   * Seconds of delay that stand in the loop. Requests here wait for 50 ms and more at servers, so
-   * that 5 ms, CoDel's target, are seen by nobody; at 20 ms the loop's own part shows in every
-   * answer.
+   * Seconds that every turn of the loop takes. Requests here wait for 50 ms and more at servers, so
+   * that 10 ms are seen by nobody; at 30 ms the loop's own part shows in every answer.
    */
-  public static final Gauge.Bounds DELAY = new Gauge.Bounds(0.005, 0.02, 0.002, 10);
+  public static final Gauge.Bounds DELAY = new Gauge.Bounds(0.01, 0.03, 0.004, 10);
 
   /** Parts of the memory limit; the rest is what a collection or a burst needs. */
   public static final Gauge.Bounds MEMORY = new Gauge.Bounds(0.8, 0.92, 0.7, 2);
@@ -34,8 +35,8 @@
   /** Long enough to hold a collection where memory is used up. */
   private static final long MEMORY_INTERVAL_NANOS = 2_000_000_000L;
 
-  /** Alarms in an interval from which a verdict on the loop is drawn. */
-  private static final int FEWEST_ALARMS = 3;
+  /** After a pause what came in it is made up for, for as long as the pause, but no longer than. */
+  private static final long MOST_GRACE_NANOS = 1_000_000_000L;
 
   /** Is told of changes. */
   @FunctionalInterface
@@ -48,11 +49,13 @@
     void changed(Resource resource, Level before, Level now, double figure);
   }
 
-  private final Standing delay = new Standing(INTERVAL_NANOS, FEWEST_ALARMS);
-  private final Standing memory = new Standing(MEMORY_INTERVAL_NANOS, 1);
-  private final Standing descriptors = new Standing(INTERVAL_NANOS, 1);
+  private final Standing delay = new Standing(INTERVAL_NANOS);
+  private final Standing memory = new Standing(MEMORY_INTERVAL_NANOS);
+  private final Standing descriptors = new Standing(INTERVAL_NANOS);
   private final Map<Resource, Gauge> gauges = new EnumMap<>(Resource.class);
   private final Listener listener;
+  private long graceUntil;
+  private boolean grace;
 
   /** All is calm. */
   public OverloadMeter(Listener listener) {
@@ -62,12 +65,37 @@
     gauges.put(Resource.DESCRIPTORS, new Gauge(DESCRIPTORS));
   }
 
-  /** Something that was due then runs now. */
-  public void ran(long dueAt, long now) {
-    delay.see(Math.max(0, now - dueAt) / 1e9);
-    if (delay.due(now)) {
-      read(Resource.CPU, delay.take(now));
+  /**
+   * The process did not run for so long, until now. Turns are not judged until the loop has had
+   * time to make up for it: guards against taking a collection of garbage, or a process that was
+   * stopped, for load.
+   */
+  public void paused(long nanos, long now) {
+    grace = true;
+    graceUntil = now + Math.min(nanos, MOST_GRACE_NANOS);
+  }
+
+  /**
+   * A turn of the loop ends that began then: what came in it had to wait for as long, half of it on
+   * average.
+   *
+   * @param shedding whether requests are refused for want of the processor: as long as they are,
+   *     the processor is short, however well the refusals keep the delay down
+   * @return seconds of delay that stood in the interval that ends now, NaN where none ends
+   */
+  public double turned(long begunAt, long now, boolean shedding) {
+    if (grace && now - graceUntil < 0) {
+      delay.restart(now);
+      return Double.NaN;
+    }
+    grace = false;
+    delay.see(Math.max(0, now - begunAt) / 1e9);
+    if (!delay.due(now)) {
+      return Double.NaN;
     }
+    double stood = delay.take(now);
+    read(Resource.CPU, shedding ? Math.max(stood, DELAY.busy()) : stood);
+    return stood;
   }
 
   /**
--- /dev/null
+++ b/core/src/main/java/shalepaddle/overload/Posture.java
@@ -0,0 +1,35 @@
+package shalepaddle.overload;
+
+/**
+ * What a load balancer does without while a resource is short. Each answer belongs to one resource:
+ * where bytes are short, bytes are freed and no request is shed for it; where the processor is
+ * short, no connection is closed, since each would have to be opened again.
+ *
+ * @param owed answers that one client's connection may be owed before no more is read from it
+ * @param idleNanos how long a connection to a cache server is kept that is not in use, at most
+ * @param trims whether buffers kept for reuse are given back
+ * @param heavy the part of all requests above which a connection is read from by turns only, 1 for
+ *     none
+ */
+public record Posture(int owed, long idleNanos, boolean trims, double heavy) {
+  /** Nothing is short. */
+  public static final Posture CALM = new Posture(64, Long.MAX_VALUE, false, 1);
+
+  /** What these levels ask for. */
+  public static Posture of(Level processor, Level memory, Level descriptors) {
+    int owed =
+        switch (memory) {
+          case CALM -> CALM.owed();
+          case BUSY -> 16;
+          case FULL -> 4;
+        };
+    Level idle = memory.compareTo(descriptors) >= 0 ? memory : descriptors;
+    long idleNanos =
+        switch (idle) {
+          case CALM -> CALM.idleNanos();
+          case BUSY -> 5_000_000_000L;
+          case FULL -> 1_000_000_000L;
+        };
+    return new Posture(owed, idleNanos, memory != Level.CALM, processor == Level.CALM ? 1 : 0.1);
+  }
+}
--- a/core/src/main/java/shalepaddle/overload/Standing.java
+++ b/core/src/main/java/shalepaddle/overload/Standing.java
@@ -15,7 +15,6 @@
  */
 public final class Standing {
   private final long intervalNanos;
-  private final int fewest;
   private long endsAt;
   private double least;
   private int seen;
@@ -25,14 +24,12 @@
    * Nothing is seen yet.
    *
    * @param intervalNanos length of an interval, above 0
-   * @param fewest values that an interval needs for a verdict: with fewer, nothing stands
    */
-  public Standing(long intervalNanos, int fewest) {
+  public Standing(long intervalNanos) {
     if (intervalNanos <= 0) {
       throw new IllegalArgumentException("interval of " + intervalNanos + " ns");
     }
     this.intervalNanos = intervalNanos;
-    this.fewest = fewest;
   }
 
   /** A value is seen, from 0 up. */
@@ -46,14 +43,19 @@
       begun = true;
       endsAt = now + intervalNanos;
     }
-    return now - endsAt >= 0;
+    return now - endsAt >= 0 && seen > 0;
   }
 
-  /** What stood in the interval that ends now: 0 if too little was seen. The next begins. */
-  public double take(long now) {
-    double stood = seen >= fewest ? least : 0;
+  /** Forgets what was seen: the next interval begins now. */
+  public void restart(long now) {
+    begun = true;
     seen = 0;
     endsAt = now + intervalNanos;
-    return stood;
+  }
+
+  /** What stood in the interval that ends now. The next begins. */
+  public double take(long now) {
+    restart(now);
+    return least;
   }
 }
--- a/core/src/main/java/shalepaddle/policy/Balancer.java
+++ b/core/src/main/java/shalepaddle/policy/Balancer.java
@@ -1,11 +1,11 @@
 package shalepaddle.policy;
 
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.function.ToDoubleFunction;
 import shalepaddle.model.MembershipUpdate;
 import shalepaddle.model.Outcome;
 import shalepaddle.model.Outcome.Result;
@@ -53,6 +53,9 @@
   /** A key with more than this part of a server's fair share of requests is shared by several. */
   private static final double HOT_SHARE = 0.5;
 
+  /** The part of its fetches that a server may lose before it gets hardly any. */
+  private static final double BARRED = 0.3;
+
   /** Seconds for which connections are closed after use: as long as a fleet keeps its size. */
   private static final double THRIFT = 300;
 
@@ -70,8 +73,9 @@
   private List<ServerHealth> origins = List.of();
   private double totalWeight;
   private double greatestShare = 1;
-  private double usualStrain;
+  private double fairStrain = 1;
   private boolean fewFailing;
+  private double losses;
   private boolean panic;
   private int inFlight;
   private long serials;
@@ -91,9 +95,7 @@
     this.actions = actions;
     this.random = new SplittableRandom(seed);
     this.feed = new MembershipFeed(settings, actions, random.split());
-    for (Settings.ServiceClass service : settings.services()) {
-      classes.put(service.name(), service);
-    }
+    settings.services().forEach(service -> classes.put(service.name(), service));
   }
 
   /** News of the list of servers. */
@@ -104,9 +106,7 @@
     List<ServerHealth> caches = new ArrayList<>(feed.ready());
     caches.removeAll(origins);
     totalWeight = caches.stream().mapToDouble(this::weight).sum();
-    boolean weighted =
-        settings.weights() == Settings.Weights.NOMINAL
-            || settings.weights() == Settings.Weights.ROUGH;
+    boolean weighted = settings.weights().lasting();
     if (!caches.equals(ready) || (weighted && update.kind() != MembershipUpdate.Kind.FAILED)) {
       slots.rebuild(caches, weighted);
     }
@@ -149,9 +149,8 @@
     // Guards against more work than the servers can do, where every answer would come late: no more
     // goes out while less would be answered within the aim (Little's law). Fetches have a window of
     // their own, and one for each server is always fair.
-    int busy = inFlight - guard.inFlight();
-    boolean hopeless = busy > ready.size() && busy > answerRate * type.aim();
-    if (!hopeless) {
+    int busy = inFlight - guard.fetches;
+    if (busy <= ready.size() || busy <= answerRate * type.aim()) {
       dispatch(now, p);
     }
     giveUp(p);
@@ -176,7 +175,7 @@
     boolean local =
         settings.prices().crossZone() > 0
             && (write || seenInZone * settings.prices().crossZone() >= LOCAL_SIGHTINGS);
-    double share = seen / Math.max(heat.total(), 50);
+    double share = seen / Math.max(heat.total, 50);
     double servers = local ? ready.size() / zones : ready.size();
     p.homes = (int) Math.max(1, Math.min(servers, Math.ceil(share * servers / HOT_SHARE)));
     p.localJumps = local ? (int) (p.homes * zones * LOCAL_JUMPS) : 0;
@@ -194,7 +193,7 @@
       if (guard.expectsMiss(now, pair)) {
         boolean follows = !p.impatient && guard.follow(pair, p);
         if (follows || guard.full(now)) {
-          if (!p.impatient) {
+          if (!p.impatient && (follows || !guard.crowded())) {
             hold(now, p, follows);
           }
           return;
@@ -229,15 +228,9 @@
     rateAt = Double.isNaN(rateAt) ? now : rateAt;
     if (now - rateAt >= 1) {
       // Shares are relative: what strains all servers alike moves no key.
-      greatestShare = 0.02;
-      double[] strains = new double[ready.size()];
-      for (int i = 0; i < strains.length; i++) {
-        greatestShare = Math.max(greatestShare, ready.get(i).share(now));
-        strains[i] = ready.get(i).strain(now);
-      }
+      greatestShare = Math.max(0.02, ranked(0.9999, server -> server.share(now)));
       fewFailing = 3 * ready.stream().filter(s -> s.unserved > 1).count() < ready.size();
-      Arrays.sort(strains);
-      usualStrain = strains.length == 0 ? 0 : strains[strains.length / 2];
+      fairStrain = Math.max(1, 1.5 * ranked(0.5, server -> server.strain(now)));
       double weight =
           ready.stream()
               .filter(server -> server.warmth(now) >= 1 && !server.suspect())
@@ -264,6 +257,7 @@
     if (settings.cache().aside() && p.request.write()) {
       return leastLoaded(now, p, origins);
     }
+    boolean write = p.request.write() || p.request.key() == null;
     ServerHealth spare = null;
     double spareFill = Double.POSITIVE_INFINITY;
     for (int jump = 0; jump < p.localJumps + MAX_JUMPS; jump++) {
@@ -272,7 +266,9 @@
         return null;
       }
       boolean remote = jump < p.localJumps && !server.entry.zone().equals(settings.zone());
-      if (remote || !p.maySend(server, now, settings.limits()) || p.tried(server)) {
+      if (remote
+          || !p.maySend(server, now, settings.limits())
+          || p.tries.stream().anyMatch(t -> t.server == server)) {
         continue;
       }
       if (!panic && server.suspect()) {
@@ -286,6 +282,11 @@
       if (coldFull(now, server) || !server.keeps(now, p.keyHash, greatestShare)) {
         continue;
       }
+      // It lacks room for fetches, others do not: it gets few, and goes on serving what it holds.
+      boolean barred = !write && server.fetchLosses(now, losses) > BARRED && !guard.troubled();
+      if (barred && random.nextInt(20) > 0 && guard.expectsMiss(now, OriginGuard.pair(p, server))) {
+        continue;
+      }
       int cap = LoadCap.cap(inFlight + 1, weight(server), totalWeight, settings.instances());
       if (server.inFlight < cap) {
         return server;
@@ -417,17 +418,17 @@
     // A hung server has no hits to tell of it: while fetches fare well elsewhere it is blamed.
     boolean hung =
         outcome.result() == Result.TIMEOUT && (!guard.troubled() || singledOut(now, server));
-    double fair = fairStrain();
     if (outcome.load() != null && outcome.load().utilization() >= 0) {
-      server.strained(now, outcome.load().utilization() / FULL_CORES, fair);
+      server.strained(now, outcome.load().utilization() / FULL_CORES, fairStrain);
     }
     if (p.request.write() || fetch && !hung && outcome.note() != Outcome.Note.HIT) {
       return;
     }
     if (outcome.result() == Result.OK) {
-      server.strained(now, outcome.waited() / (FAIR_PART_OF_AIM * p.type.aim()), fair);
-    } else if (outcome.silent() || outcome.result() == Result.FULL) {
-      server.strained(now, 2, fair);
+      server.strained(now, outcome.waited() / (FAIR_PART_OF_AIM * p.type.aim()), fairStrain);
+    } else if (outcome.silent() || (outcome.result() == Result.FULL && server.unserved > 1)) {
+      // One that turns away single reads lacks room for fetches, and serves what it holds.
+      server.strained(now, 2, fairStrain);
     }
   }
 
@@ -438,15 +439,20 @@
     if (ok && !p.request.write()) {
       guard.answered(now, OriginGuard.pair(p, server), outcome.note());
     }
-    if (outcome.attempt() == p.fetchAttempt) {
+    boolean fetch = outcome.attempt() == p.fetchAttempt;
+    boolean full = outcome.result() == Result.FULL && !p.request.write();
+    if (fetch || full) {
       boolean late = outcome.waited() > p.type.aim();
-      boolean hit = outcome.note() == Outcome.Note.HIT;
-      // A strained server makes its fetches late or full by itself: that is no sign of the origin.
-      boolean failed =
-          outcome.result() == Result.ERROR
-              || ((outcome.silent() || outcome.result() == Result.FULL || (ok && late && !hit))
-                  && !singledOut(now, server));
-      for (PendingRequest follower : guard.over(now, p, ok && !late, failed)) {
+      boolean lateFetch = ok && late && outcome.note() != Outcome.Note.HIT;
+      boolean failed = full || outcome.result() == Result.ERROR || outcome.silent() || lateFetch;
+      if (failed || ok && !late) {
+        server.fetched(now, failed, losses);
+        losses += 0.1 * ((failed ? 1 : 0) - losses);
+        // What has its cause in some servers is not the origin's: its troubles reach all of them.
+        guard.losses = ranked(0.25, each -> each.fetchLosses(now, losses));
+      }
+      for (PendingRequest follower :
+          fetch ? guard.over(now, p, ok && !late, failed) : List.<PendingRequest>of()) {
         if (follower.waiting && !follower.answered) {
           resume(now, follower);
         }
@@ -457,16 +463,18 @@
     }
   }
 
+  /** The figure that such a part of the ready servers keeps below. */
+  private double ranked(double part, ToDoubleFunction<ServerHealth> figure) {
+    double[] figures = ready.stream().mapToDouble(figure).sorted().toArray();
+    return figures.length == 0 ? 0 : figures[(int) (part * figures.length)];
+  }
+
   /** Whether a server is strained beyond the others, so that the cause is its own. */
   private boolean singledOut(double now, ServerHealth server) {
-    return server.strain(now) > fairStrain()
+    return server.strain(now) > fairStrain
         || (fewFailing && server.unserved >= ServerHealth.UNSERVED_AFTER - 1);
   }
 
-  private double fairStrain() {
-    return Math.max(1, 1.5 * usualStrain);
-  }
-
   private void resume(double now, PendingRequest p) {
     p.waiting = false;
     dispatch(now, p);
@@ -484,9 +492,10 @@
         send(now, p, origin);
       }
     } else if (outcome.result().broken()
+        || (outcome.result() == Result.FULL && !guard.troubled())
         || (retryTokens >= 1 && (outcome.result() == Result.SPOILT || !guard.troubled()))) {
       // Not while fetches fail: a retry would be one more of them.
-      retryTokens -= outcome.result().broken() ? 0 : 1;
+      retryTokens -= outcome.result().provesNotRun() || outcome.result().broken() ? 0 : 1;
       dispatch(now, p);
     }
     giveUp(p);
--- a/core/src/main/java/shalepaddle/policy/KeyHeat.java
+++ b/core/src/main/java/shalepaddle/policy/KeyHeat.java
@@ -8,14 +8,15 @@
   private static final double HALF_LIFE = 4;
 
   private final float[][] rows = new float[2][CELLS];
-  private float total;
+
+  /** All recent sightings, counted alike. */
+  float total;
+
   private double foldedAt;
 
   /** Counts a sighting and returns the key's weight: its recent sightings, an upper estimate. */
   float seen(double now, long keyHash) {
-    if (foldedAt == 0) {
-      foldedAt = now;
-    }
+    foldedAt = foldedAt == 0 ? now : foldedAt;
     while (now - foldedAt >= HALF_LIFE / 4) {
       foldedAt += HALF_LIFE / 4;
       fold();
@@ -30,11 +31,6 @@
     return least;
   }
 
-  /** All recent sightings, counted alike. */
-  float total() {
-    return total;
-  }
-
   private void fold() {
     float keep = 0.8409f; // the fourth root of a half
     total *= keep;
--- a/core/src/main/java/shalepaddle/policy/MembershipFeed.java
+++ b/core/src/main/java/shalepaddle/policy/MembershipFeed.java
@@ -73,13 +73,11 @@
   }
 
   private void put(double now, ServerEntry entry) {
-    ServerHealth server = servers.get(entry.id());
+    ServerHealth server =
+        servers.computeIfAbsent(
+            entry.id(), id -> new ServerHealth(entry, now, settings.contract()));
     if (entry.state() == ServerEntry.State.GONE) {
-      if (server != null) {
-        remove(server);
-      }
-    } else if (server == null) {
-      servers.put(entry.id(), new ServerHealth(entry, now, settings.contract()));
+      remove(server);
     } else {
       server.listed(entry, now);
     }
@@ -97,10 +95,7 @@
 
   /** The feed's timer came due. */
   void timer(double now) {
-    if (subscribed || !settings.asksForList()) {
-      return;
-    }
-    if (now + 1e-6 >= callAt) {
+    if (!subscribed && settings.asksForList() && now + 1e-6 >= callAt) {
       actions.subscribe(true);
       // A call whose answer never comes must not leave this balancer silent.
       callIn(now, Math.max(settings.contract().askWithin() * 0.8, settings.tick()));
--- a/core/src/main/java/shalepaddle/policy/OriginGuard.java
+++ b/core/src/main/java/shalepaddle/policy/OriginGuard.java
@@ -33,14 +33,18 @@
   private final ArrayDeque<PendingRequest> parked = new ArrayDeque<>();
   private double horizon = FIRST_HORIZON;
   private double window = Double.POSITIVE_INFINITY;
-  private int fetches;
+
+  /** Likely fetches in flight, those at strained servers aside. */
+  int fetches;
 
   /** The rate of likely fetches that the window never refuses. */
   double floor;
 
+  /** The part of fetches that fails or comes late. */
+  double losses;
+
   private double tokens;
   private double tokensAt;
-  private double losses;
   private double shrunkAt;
 
   static long pair(PendingRequest p, ServerHealth server) {
@@ -71,18 +75,21 @@
     return tokens < 1;
   }
 
-  /** Likely fetches in flight, those at strained servers aside. */
-  int inFlight() {
-    return fetches;
-  }
-
   /** Whether more fetches fail than is fair. */
   boolean troubled() {
     return losses > FAIR_LOSSES;
   }
 
-  void park(PendingRequest p) {
+  /**
+   * Whether as many wait as the window will soon have room for. Guards against a queue that stands:
+   * who is refused at once has time for another try, and takes nobody's connection meanwhile.
+   */
+  boolean crowded() {
     parked.removeIf(old -> !old.waiting || old.answered); // Or a window that stays full keeps them.
+    return parked.size() >= Math.max(2, window / 8);
+  }
+
+  void park(PendingRequest p) {
     parked.addLast(p);
   }
 
@@ -113,9 +120,6 @@
 
   /** A likely fetch is over; returns the requests that waited for it. */
   List<PendingRequest> over(double now, PendingRequest p, boolean good, boolean bad) {
-    if (good || bad) {
-      losses += 0.1 * ((bad ? 1 : 0) - losses);
-    }
     if (bad && troubled() && now - shrunkAt > ROUND * p.type.aim()) {
       window = Math.max(1, Math.min(window, fetches) * SHRINK);
       shrunkAt = now;
--- a/core/src/main/java/shalepaddle/policy/PendingRequest.java
+++ b/core/src/main/java/shalepaddle/policy/PendingRequest.java
@@ -97,11 +97,6 @@
     return onward < homes ? (firstHome + onward) % homes : onward;
   }
 
-  /** Whether an attempt to this server went out before. */
-  boolean tried(ServerHealth server) {
-    return tries.stream().anyMatch(attempt -> attempt.server == server);
-  }
-
   /**
    * Rule 2: whether one more attempt may go to this server. Guards against an effect carried out
    * twice: everything may be sent while no attempt can have run; after that only what is safe to
@@ -131,12 +126,7 @@
   }
 
   private Attempt firstThatMayHaveRun() {
-    for (Attempt attempt : tries) {
-      if (attempt.fate != Fate.NOT_RUN) {
-        return attempt;
-      }
-    }
-    return null;
+    return tries.stream().filter(a -> a.fate != Fate.NOT_RUN).findFirst().orElse(null);
   }
 
   private boolean sameGroup(ServerEntry a, ServerEntry b) {
--- a/core/src/main/java/shalepaddle/policy/ServerHealth.java
+++ b/core/src/main/java/shalepaddle/policy/ServerHealth.java
@@ -13,24 +13,30 @@
   static final int UNSERVED_AFTER = 3;
 
   /**
-   * How much a reset counts among those. A network or an idle limit breaks single connections to
-   * servers that run, and one whose process ended refuses new ones: a reset alone says little. Yet
-   * a server that resets all is left out; could do harm where few requests make such a row likely.
+   * How much a reset, or a request turned away, counts among those. A network or an idle limit
+   * breaks single connections to servers that run, and one whose process ended refuses new ones: a
+   * reset alone says little. Who has no room for a fetch may serve all else. Yet a server that does
+   * so to all is left out; could do harm where few requests make such a row likely.
    */
-  private static final double RESET_COUNTS = 0.5;
+  private static final double HALF_COUNTS = 0.5;
 
   /** Pause before a suspect's first trial, and the longest one, in seconds. */
   private static final double FIRST_PAUSE = 0.5;
 
   private static final double LONGEST_PAUSE = 4;
 
-  /** Seconds in which unrenewed strain fades to a third. */
+  /** Seconds in which what is not renewed fades to a third. */
   private static final double STRAIN_FADES = 3;
 
   final long id;
   ServerEntry entry;
   int inFlight;
 
+  /** The part of its fetches that fails, comes late or is turned away, and as of when. */
+  private double fetchLosses;
+
+  private double fetchedAt = Double.NEGATIVE_INFINITY;
+
   /**
    * The share of its keys that the server is offered, learned from how it fares: the others jump.
    * Which keys stay goes by their hash alone, so balancers that learn alike move the same keys.
@@ -135,6 +141,16 @@
     return Math.min(1, share + 0.02 * Math.max(0, now - learnedAt));
   }
 
+  /** What it loses of its fetches; where it has had few lately, what all lose. */
+  double fetchLosses(double now, double all) {
+    return all + (fetchLosses - all) * Math.exp((fetchedAt - now) / STRAIN_FADES);
+  }
+
+  void fetched(double now, boolean lost, double all) {
+    fetchLosses = fetchLosses(now, all) * 0.85 + (lost ? 0.15 : 0);
+    fetchedAt = now;
+  }
+
   /** Whether the key is among those that the server keeps while it is offered but a share. */
   boolean keeps(double now, long keyHash, double most) {
     double kept = share(now) / most;
@@ -185,7 +201,8 @@
     boolean fresh = now - outcome.elapsed() > brokenAt;
     boolean reset = result == Outcome.Result.RESET && fresh;
     // A server is not blamed for time in which this node did not listen.
-    unserved = served ? 0 : unserved + (failed ? outcome.attention() : reset ? RESET_COUNTS : 0);
+    boolean half = reset || result == Outcome.Result.FULL;
+    unserved = served ? 0 : unserved + (half ? HALF_COUNTS : failed ? outcome.attention() : 0);
     inFlight--;
     trialOut = false;
     boolean was = suspect();
--- a/core/src/main/java/shalepaddle/policy/SlotTable.java
+++ b/core/src/main/java/shalepaddle/policy/SlotTable.java
@@ -43,10 +43,8 @@
 
   /** A power of four near the greatest weight: it hardly ever changes when servers come and go. */
   private static double unit(List<ServerHealth> servers) {
-    double greatest = 0;
-    for (ServerHealth server : servers) {
-      greatest = Math.max(greatest, LoadCap.usable(server.entry.weight()));
-    }
+    double greatest =
+        servers.stream().mapToDouble(s -> LoadCap.usable(s.entry.weight())).max().orElse(0);
     return greatest > 0 ? Math.pow(4, Math.rint(Math.log(greatest) / Math.log(4))) : 1;
   }
 
--- /dev/null
+++ b/core/src/test/java/shalepaddle/overload/AdmissionTest.java
@@ -0,0 +1,194 @@
+package shalepaddle.overload;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** The parts of admission, each by itself. */
+class AdmissionTest {
+  private static final long MILLI = 1_000_000L;
+
+  private final Tiers tiers = new Tiers(LoopModel.settings(true).services(), 0.1);
+
+  @Test
+  void tiersAreOrderedByWorthAndRepeatsComeAfterFirstTries() {
+    int submit = tiers.of(1, false, false);
+    int submitAgain = tiers.of(1, true, false);
+    int read = tiers.of(0, false, false);
+    int readAgain = tiers.of(0, true, false);
+    assertEquals(0, submit);
+    assertTrue(submit < submitAgain && submitAgain < read && read < readAgain);
+    assertTrue(readAgain < tiers.of(1, false, true), "past its share a tenant comes last");
+    assertEquals(tiers.count() - 1, tiers.of(0, true, true));
+  }
+
+  @Test
+  void theLimitFallsFastRisesSlowlyAndIsLifted() {
+    LoadLimit limit = new LoadLimit(0.005);
+    limit.next(0.004, 1000, 1000);
+    assertFalse(limit.limited(), "below the target nothing is limited");
+    limit.next(0.05, 1000, 3000);
+    assertEquals(700, limit.limit(), 1, "cut by no more than three tenths");
+    limit.next(0.03, 700, 3000);
+    assertEquals(700, limit.limit(), 1, "held while the queue drains");
+    limit.next(0.003, 700, 3000);
+    assertEquals(700, limit.limit(), 1, "held between half the target and the target");
+    limit.next(0.005, 600, 3000);
+    assertEquals(540, limit.limit(), 1, "a tenth off what was admitted, at the target");
+    limit.next(0.001, 540, 3000);
+    assertEquals(621, limit.limit(), 1, "back fast to what is known to go");
+    int intervals = 0;
+    while (limit.limited()) {
+      limit.next(0, 500, 500);
+      intervals++;
+    }
+    assertTrue(intervals <= 30, "lifted within 3 s: " + intervals);
+    for (int i = 0; i < 500; i++) {
+      limit.next(1, 1, 1000);
+    }
+    assertEquals(10, limit.limit(), 0.1, "never so low that nothing is learned");
+    LoadLimit busy = new LoadLimit(0.005);
+    for (int i = 0; i < 20; i++) {
+      busy.next(0.1, 1000, 9000);
+    }
+    assertTrue(busy.limit() > 200, "refusals may take the rest, not all: " + busy.limit());
+  }
+
+  @Test
+  void whatIsWorthMostPassesWholeAndTheBrinkInPart() {
+    Admission admission = new Admission(Tuning.USUAL, tiers, 1);
+    long now = 1;
+    admission.interval(0, now);
+    for (int i = 0; i < 300; i++) {
+      admission.admits(tiers.of(0, false, false), false);
+      if (i % 10 == 0) {
+        admission.admits(tiers.of(1, false, false), false);
+      }
+    }
+    admission.interval(0.05, now + 100 * MILLI);
+    assertTrue(admission.limited());
+    assertEquals(1, admission.passing(tiers.of(1, false, false)));
+    double brink = admission.passing(tiers.of(0, false, false));
+    assertEquals((3300 * 0.7 - 300) / 3000, brink, 0.01);
+    assertEquals(0.02, admission.passing(tiers.count() - 1), 1.0, "nobody is locked out");
+  }
+
+  @Test
+  void repeatsAreAShareOfFirstTriesWhileFewAreAdmitted() {
+    Admission admission = new Admission(Tuning.USUAL, tiers, 1);
+    admission.interval(0, 1);
+    admission.admits(0, false);
+    admission.interval(0.01, 1 + 100 * MILLI);
+    assertTrue(admission.limited());
+    int first = tiers.of(1, false, false);
+    int again = tiers.of(1, true, false);
+    int passed = 0;
+    for (int i = 0; i < 1000; i++) {
+      admission.admits(first, false);
+      passed += admission.admits(again, true) ? 1 : 0;
+    }
+    assertTrue(passed <= 0.1 * 1000 + 20, "repeats admitted: " + passed);
+    assertTrue(passed >= 20, "repeats admitted: " + passed);
+  }
+
+  @Test
+  void adviceIsSpreadAndGrowsWithTheExcess() {
+    Admission admission = new Admission(Tuning.USUAL, tiers, 1);
+    double least = 1;
+    double most = 0;
+    for (int i = 0; i < 1000; i++) {
+      double advice = admission.advice();
+      least = Math.min(least, advice);
+      most = Math.max(most, advice);
+    }
+    assertTrue(least >= 0.05 && least < 0.06 && most <= 0.15 && most > 0.14, least + " to " + most);
+  }
+
+  @Test
+  void onlyTellingRefusesNothing() {
+    Admission admission = new Admission(Tuning.OFF, tiers, 1);
+    for (int i = 1; i < 20; i++) {
+      admission.admits(0, false);
+      admission.interval(1, i * 100 * MILLI);
+    }
+    assertFalse(admission.limited());
+  }
+
+  @Test
+  void repeatsAreGuessedWhereTheyAreNotMarked() {
+    RepeatGuess guess = new RepeatGuess();
+    assertFalse(guess.looksRepeated(42, 0, 0));
+    guess.refused(42, 0, 0);
+    assertTrue(guess.looksRepeated(42, 0, 500 * MILLI));
+    assertFalse(guess.looksRepeated(42, 1, 500 * MILLI), "another class");
+    assertFalse(guess.looksRepeated(43, 0, 500 * MILLI), "another key");
+    assertFalse(guess.looksRepeated(42, 0, 1500 * MILLI), "long ago");
+  }
+
+  @Test
+  void aTenantPastItsShareIsToldFromOneWithin() {
+    TenantShares shares = new TenantShares(LoopModel.settings(true).tenants(), 2);
+    int past = 0;
+    for (int i = 0; i < 1000; i++) {
+      past += shares.pastShare(0, 1 + i * 10 * MILLI) ? 1 : 0;
+    }
+    assertEquals(1000 - 500 - 50, past, 20, "100 a second come, half of 100 are its share here");
+    assertFalse(shares.pastShare(1, 1), "no quota, no share to be past");
+    assertFalse(shares.pastShare(-1, 1), "unknown");
+  }
+
+  @Test
+  void theIntakeServesByWorthAndTheNewestOnceItStands() {
+    List<String> refused = new ArrayList<>();
+    Intake<String> intake = new Intake<>(2, 4, 50 * MILLI, refused::add);
+    intake.offer("read 1", 1, 0);
+    intake.offer("read 2", 1, 0);
+    intake.offer("submit", 0, 0);
+    assertEquals("submit", intake.poll(MILLI));
+    assertEquals("read 1", intake.poll(MILLI), "in order, while it is short-lived");
+    for (int i = 1; i <= 5; i++) {
+      intake.offer("late " + i, 1, (80 + i) * MILLI);
+    }
+    assertEquals(List.of("read 2", "late 1"), refused, "the oldest of the least worth give way");
+    assertEquals("late 5", intake.poll(110 * MILLI), "the newest, once it stands");
+    assertEquals(28 * MILLI, intake.oldest(110 * MILLI));
+    assertEquals(null, intake.poll(200 * MILLI));
+    assertEquals(List.of("read 2", "late 1", "late 2", "late 3", "late 4"), refused);
+    assertEquals(0, intake.size());
+    intake.offer("open", 0, 300 * MILLI);
+    intake.clear();
+    assertEquals("open", refused.get(5));
+  }
+
+  @Test
+  void memoryFreesBytesAndNeverSheds() {
+    OverloadControl control =
+        new OverloadControl(
+            LoopModel.settings(true), Tuning.USUAL, 1, (resource, before, now, figure) -> {});
+    for (long now = 0; now < 10_000 * MILLI; now += 25 * MILLI) {
+      control.turned(now, now, 0);
+      control.uses(0.99, 0.95, 0.1, now);
+    }
+    assertEquals(Level.FULL, control.level(Resource.MEMORY));
+    assertEquals(Level.CALM, control.level(Resource.CPU), "use of the processor alone is no lack");
+    assertFalse(control.shedding());
+    assertEquals(new Posture(4, 1_000_000_000L, true, 1), control.posture());
+    assertEquals(
+        Posture.CALM.idleNanos(),
+        Posture.of(Level.FULL, Level.CALM, Level.CALM).idleNanos(),
+        "a short processor closes no connection");
+  }
+
+  @Test
+  void figuresOutOfRangeAreNamed() {
+    IllegalArgumentException e =
+        assertThrows(
+            IllegalArgumentException.class, () -> new Tuning(true, 5, 0.02, 0.1, 0.05, 0.1));
+    assertEquals("target_ms is 5000.0, and must be from 1.0 to 1000.0", e.getMessage());
+  }
+}
--- /dev/null
+++ b/core/src/test/java/shalepaddle/policy/FetchesTest.java
@@ -0,0 +1,123 @@
+package shalepaddle.policy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.function.LongPredicate;
+import org.junit.jupiter.api.Test;
+import shalepaddle.model.Outcome;
+import shalepaddle.model.Outcome.Result;
+
+/** Servers that lack room for fetches, and the queue of what waits for the origin. */
+class FetchesTest {
+  private final Rig.Recorder actions = new Rig.Recorder();
+  private final Balancer balancer = new Balancer(Rig.settings(false, 4, true), 1, actions);
+  private double now = 100;
+  private int busy;
+  private int served;
+
+  FetchesTest() {
+    balancer.membership(now, Rig.fleet(9));
+  }
+
+  /**
+   * Asks for a key; servers that have no room for fetches turn away what they do not hold, after a
+   * while. Returns where it was served, 0 if nowhere.
+   */
+  private long ask(String id, String key, boolean held, LongPredicate noRoom) {
+    int seen = actions.acts.size();
+    balancer.request(now += 0.004, Rig.request(id, key, "safe", 1));
+    int attempt = 0;
+    for (int i = seen; i < actions.acts.size(); i++) {
+      Rig.Act act = actions.acts.get(i);
+      if (!act.what().equals("send")) {
+        continue;
+      }
+      boolean full = noRoom.test(act.number()) && !held;
+      now += full ? 0.016 : 0.004;
+      busy += full ? 1 : 0;
+      served += full ? 0 : 1;
+      balancer.outcome(
+          now, Rig.outcome(id, attempt++, act.number(), full ? Result.FULL : Result.OK));
+      if (!full) {
+        return act.number();
+      }
+    }
+    return 0;
+  }
+
+  @Test
+  void serversWithoutRoomForFetchesGetFewAndGoOnServingWhatTheyHold() {
+    long[] homes = new long[200];
+    for (int i = 0; i < homes.length; i++) {
+      homes[i] = ask("w" + i, "held" + i, true, server -> false);
+    }
+    served = 0;
+    for (int i = 0; i < 400; i++) {
+      ask("n" + i, "new" + i, false, server -> server <= 5);
+      ask("h" + i, "held" + i % homes.length, true, server -> server <= 5);
+    }
+    busy = 0;
+    int at = 0;
+    for (int i = 0; i < 400; i++) {
+      assertTrue(ask("m" + i, "more" + i, false, server -> server <= 5) > 5, "served elsewhere");
+      at += ask("g" + i, "held" + i % homes.length, true, s -> s <= 5) == homes[i % 200] ? 1 : 0;
+    }
+    assertTrue(busy < 60, busy + " of 400 fetches turned away; five of nine would be 220");
+    assertTrue(at > 360, at + " of 400 at the server that holds them");
+    assertEquals(0, actions.of("refuse").size());
+  }
+
+  @Test
+  void whereAllTurnAwayTheWindowClosesAndNothingIsTriedForEver() {
+    for (int i = 0; i < 400; i++) {
+      ask("n" + i, "new" + i, false, server -> true);
+    }
+    assertEquals(0, served);
+    assertTrue(busy < 400 * 1.6, busy + " attempts of 400 requests");
+    assertEquals(400, actions.of("refuse").size(), "each is refused, and none twice");
+  }
+
+  @Test
+  void oneServersLossesAreNotTheOrigins() {
+    for (int i = 0; i < 400; i++) {
+      String id = "n" + i;
+      balancer.request(now += 0.01, Rig.request(id, "new" + i, "safe", 1));
+      List<Rig.Act> sent = actions.of("send");
+      Rig.Act last = sent.get(sent.size() - 1);
+      Result result = last.number() == 1 ? Result.ERROR : Result.OK;
+      balancer.outcome(now, Rig.outcome(id, 0, last.number(), result));
+    }
+    for (int i = 0; i < 60; i++) {
+      balancer.request(now, Rig.request("o" + i, "other" + i, "safe", 1));
+    }
+    assertEquals(60, actions.of("send").stream().filter(a -> a.id().startsWith("o")).count());
+  }
+
+  @Test
+  void aQueueForTheOriginIsShortAndWhoFindsItFullIsRefusedAtOnce() {
+    Balancer once = new Balancer(Rig.settings(false, 1, true), 1, actions);
+    once.membership(now, Rig.fleet(9));
+    for (int i = 0; i < 60; i++) {
+      String id = "n" + i;
+      once.request(now += 0.3, Rig.request(id, "new" + i, "safe", 1));
+      List<Rig.Act> sent = actions.of("send");
+      if (!sent.isEmpty() && sent.get(sent.size() - 1).id().equals(id)) {
+        long server = sent.get(sent.size() - 1).number();
+        // An error that names a miss: it is the origin's.
+        once.outcome(
+            now, new Outcome(id, 0, server, Result.ERROR, 0.05, false, Outcome.Note.MISS, null));
+      }
+    }
+    int before = actions.of("refuse").size() + actions.of("fail").size();
+    now += 0.001;
+    for (int i = 0; i < 100; i++) {
+      once.request(now, Rig.request("q" + i, "queued" + i, "safe", 1));
+    }
+    int refused = actions.of("refuse").size() + actions.of("fail").size() - before;
+    assertTrue(refused >= 90, refused + " of 100 refused at once");
+    assertFalse(refused == 100, "some wait for room");
+  }
+}
--- a/core/src/test/java/shalepaddle/policy/Rig.java
+++ b/core/src/test/java/shalepaddle/policy/Rig.java
@@ -72,6 +72,7 @@
         0,
         4,
         asks,
+        true,
         Settings.Weights.NONE,
         new Settings.CacheMode(false, null, 0, 0),
         new Settings.Limits(maxAttempts, parallel, true, false, false, false, 1, 0.1, 60, 32),
--- a/daemon/src/main/java/shalepaddle/daemon/Main.java
+++ b/daemon/src/main/java/shalepaddle/daemon/Main.java
@@ -7,16 +7,20 @@
 
 /** The program's commands. */
 public final class Main {
-  private static final String USAGE = "usage: shalepaddle simhost | serve | rehearse";
+  private static final String USAGE =
+      "usage: shalepaddle simhost | serve [--operator FILE] | rehearse [--operator FILE]";
 
   private Main() {}
 
   /** Runs the command named by the first word. */
   public static void main(String[] args) throws InterruptedException {
-    switch (args.length == 1 ? args[0] : "") {
+    // No library here: it would be loaded at every start of the deployed node, for one option.
+    boolean named = args.length == 3 && args[1].equals("--operator");
+    String operator = named ? args[2] : null;
+    switch (args.length == 1 || named ? args[0] : "") {
       case "simhost" -> simhost();
-      case "serve" -> System.exit(Node.serve(System.getenv("ROUTER_CONFIG")));
-      case "rehearse" -> System.exit(Node.rehearse());
+      case "serve" -> System.exit(Node.serve(System.getenv("ROUTER_CONFIG"), operator));
+      case "rehearse" -> System.exit(Node.rehearse(operator));
       default -> {
         System.err.println(USAGE);
         System.exit(2);
--- a/days/src/main/java/shalepaddle/days/SimulatedDay.java
+++ b/days/src/main/java/shalepaddle/days/SimulatedDay.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import shalepaddle.config.NodeConfig;
+import shalepaddle.config.OperatorFile;
 import shalepaddle.loop.Clock;
 import shalepaddle.loop.Log;
 import shalepaddle.loop.LoopClock;
@@ -207,6 +208,7 @@
     LoadBalancer balancer =
         new LoadBalancer(
             NodeConfig.parse(JsonObject.parse(config(discovery))),
+            OperatorFile.USUAL,
             loop,
             clock,
             new Clock(time.ticker(), EPOCH_MILLIS + time.millis()),
@@ -240,6 +242,11 @@
       }
     }
 
+    @Override
+    public void turned(long begunAt, long now) {
+      balancer.turned(begunAt, now);
+    }
+
     @Override
     public void failed(RuntimeException cause) {
       throw cause;
--- a/engine/src/main/java/shalepaddle/codec/meta/MetaClientCodec.java
+++ b/engine/src/main/java/shalepaddle/codec/meta/MetaClientCodec.java
@@ -2,21 +2,37 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
-import java.util.Set;
 import shalepaddle.engine.MemoryBudget;
 import shalepaddle.engine.Reply;
 import shalepaddle.front.ClientCodec;
+import shalepaddle.front.Gate;
+import shalepaddle.model.Settings;
+
+/** The meta protocol, as clients speak it. */
+public final class MetaClientCodec implements ClientCodec {
+  private final MemoryBudget values;
+  private final Names classes;
+  private final Names tenants;
+  private final Gate gate;
+
+  /**
+   * The codec of one front.
+   *
+   * @param values bounds the values that all connections' requests hold together
+   * @param settings names the classes and tenants; requests of other classes are turned down at the
+   *     edge
+   * @param gate is asked about each request
+   */
+  public MetaClientCodec(MemoryBudget values, Settings settings, Gate gate) {
+    this.values = values;
+    this.classes = new Names(settings.services().stream().map(c -> c.name()).toList());
+    this.tenants = new Names(settings.tenants().stream().map(t -> t.name()).toList());
+    this.gate = gate;
+  }
 
-/**
- * The meta protocol, as clients speak it.
- *
- * @param values bounds the values that all connections' requests hold together
- * @param classes the classes of requests that there are; others are turned down at the edge
- */
-public record MetaClientCodec(MemoryBudget values, Set<String> classes) implements ClientCodec {
   @Override
   public CommandDecoder decoder() {
-    return new MetaCommandDecoder(values, classes);
+    return new MetaCommandDecoder(values, classes, tenants, gate);
   }
 
   @Override
--- a/engine/src/main/java/shalepaddle/codec/meta/MetaCommandDecoder.java
+++ b/engine/src/main/java/shalepaddle/codec/meta/MetaCommandDecoder.java
@@ -4,10 +4,10 @@
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.channel.ChannelHandlerContext;
 import java.util.List;
-import java.util.Set;
 import shalepaddle.engine.MemoryBudget;
 import shalepaddle.front.ClientCodec;
 import shalepaddle.front.ClientCommand;
+import shalepaddle.front.Gate;
 import shalepaddle.model.Request;
 
 /** Reads commands off a client's connection, however its bytes are cut. */
@@ -23,7 +23,11 @@
   private final MemoryBudget budget;
 
   /** The classes that there are. Guards cache servers against what they would turn away. */
-  private final Set<String> classes;
+  private final Names classes;
+
+  private final Names tenants;
+  private final Gate gate;
+  private final MetaGlance glance;
 
   /** The write whose value is being read, and how many bytes with its CRLF are still to come. */
   private ClientCommand write;
@@ -34,9 +38,15 @@
   private int missing;
   private boolean lost;
 
-  MetaCommandDecoder(MemoryBudget budget, Set<String> classes) {
+  /** Whether the gate has been asked about the line that is read now. */
+  private boolean asked;
+
+  MetaCommandDecoder(MemoryBudget budget, Names classes, Names tenants, Gate gate) {
     this.budget = budget;
     this.classes = classes;
+    this.tenants = tenants;
+    this.gate = gate;
+    this.glance = new MetaGlance(classes, tenants);
   }
 
   /** Whether a command has begun and not ended. */
@@ -62,6 +72,15 @@
         readValue(in, out);
         return;
       }
+      asked = false;
+      ClientCommand refused = gate.shuts() ? refuse(ctx.alloc(), in) : null;
+      if (refused != null) {
+        out.add(refused);
+        return;
+      }
+      if (write != null) {
+        return;
+      }
       MetaLine line = MetaLine.read(in);
       if (line != null) {
         ClientCommand command = parse(ctx.alloc(), line);
@@ -79,6 +98,35 @@
     }
   }
 
+  /**
+   * Takes the next line off the buffer if it is a request that the gate refuses: the answer to a
+   * read, null for a write, whose value is read and dropped before it is answered. Null also where
+   * nothing is refused.
+   */
+  private ClientCommand refuse(ByteBufAllocator allocator, ByteBuf in) {
+    int start = in.readerIndex();
+    int newline = in.bytesBefore(Math.min(in.readableBytes(), MetaLine.MAX_LENGTH), (byte) '\n');
+    if (newline < 1
+        || in.getByte(start + newline - 1) != '\r'
+        || !glance.read(in, start, start + newline - 1)) {
+      return null;
+    }
+    asked = true;
+    long advice = gate.ask(glance.serviceClass, glance.tenant, glance.subject, glance.repeat);
+    if (advice == Gate.ADMITTED) {
+      return null;
+    }
+    in.skipBytes(newline + 1);
+    ClientCommand refusal = ClientCommand.refused(MetaReplies.busy(allocator, advice));
+    if (glance.length < 0) {
+      return refusal;
+    }
+    write = refusal;
+    value = null;
+    missing = glance.length + 2;
+    return null;
+  }
+
   private void readValue(ByteBuf in, List<Object> out) throws MetaLine.MalformedException {
     int bytes = Math.min(in.readableBytes(), missing - 2);
     if (bytes > 0) {
@@ -134,7 +182,8 @@
       if (command.request() != null && value == null) {
         // Guards against more writes at once than there is memory for: this one is read and
         // dropped, and refused, which is true since it has never gone out.
-        command = answer(allocator, "SERVER_ERROR busy");
+        command.release();
+        command = ClientCommand.refused(MetaReplies.busy(allocator, 0));
       }
       write = command;
       missing = length + 2;
@@ -143,11 +192,11 @@
   }
 
   private static ClientCommand answer(ByteBufAllocator allocator, String text) {
-    return new ClientCommand(MetaReplies.line(allocator, text), false, false, null, null);
+    return new ClientCommand(MetaReplies.line(allocator, text), false, false, false, null, null);
   }
 
   private static ClientCommand error(ByteBufAllocator allocator, String text, boolean lost) {
-    return new ClientCommand(MetaReplies.line(allocator, text), true, lost, null, null);
+    return new ClientCommand(MetaReplies.line(allocator, text), true, lost, false, null, null);
   }
 
   private static boolean visible(MetaLine line) {
@@ -161,6 +210,8 @@
     int deadlineEnd = 0;
     int deadline = -1;
     String serviceClass = null;
+    int classPlace = -1;
+    int tenantPlace = -1;
     String tenant = null;
     boolean repeat = false;
     double work = 0;
@@ -183,8 +234,14 @@
           }
           int value = Math.min(equals + 1, to);
           switch (line.text(from, equals)) {
-            case "c" -> serviceClass = line.text(value, to);
-            case "t" -> tenant = line.text(value, to);
+            case "c" -> {
+              classPlace = classes.find(line.bytes, value, to);
+              serviceClass = classPlace < 0 ? null : line.text(value, to);
+            }
+            case "t" -> {
+              tenantPlace = tenants.find(line.bytes, value, to);
+              tenant = line.text(value, to);
+            }
             case "d" -> {
               deadlineStart = value;
               deadlineEnd = to;
@@ -203,7 +260,7 @@
     }
     if (wrong == null && (id == null || id.isEmpty())) {
       wrong = "bad or missing id";
-    } else if (wrong == null && (serviceClass == null || !classes.contains(serviceClass))) {
+    } else if (wrong == null && serviceClass == null) {
       wrong = "bad or missing class";
     } else if (wrong == null && (deadline <= 0 || deadline > MAX_DEADLINE)) {
       wrong = "bad or missing deadline";
@@ -211,6 +268,10 @@
     if (wrong != null) {
       return error(allocator, "CLIENT_ERROR " + wrong, false);
     }
+    if (!asked) {
+      // Admitted, since the gate would have been asked before: this tells it what comes.
+      gate.ask(classPlace, tenantPlace, 0, repeat);
+    }
     Request request =
         new Request(id, key, serviceClass, tenant, deadline / 1e3, work, size, repeat, sets);
     return ClientCommand.of(
--- a/engine/src/main/java/shalepaddle/codec/meta/MetaReplies.java
+++ b/engine/src/main/java/shalepaddle/codec/meta/MetaReplies.java
@@ -28,12 +28,16 @@
       return line(allocator, "HD O" + id + " c" + written.receipt());
     }
     if (reply instanceof Reply.Refused refused) {
-      long millis = refused.retryAfterMillis();
-      return line(allocator, "SERVER_ERROR busy" + (millis > 0 ? " " + millis : ""));
+      return busy(allocator, refused.retryAfterMillis());
     }
     return line(allocator, "SERVER_ERROR failed");
   }
 
+  /** A refusal, with advice to come again after so many milliseconds, none for 0. */
+  static ByteBuf busy(ByteBufAllocator allocator, long millis) {
+    return line(allocator, millis > 0 ? "SERVER_ERROR busy " + millis : "SERVER_ERROR busy");
+  }
+
   public static ByteBuf line(ByteBufAllocator allocator, String text) {
     ByteBuf line = allocator.buffer(text.length() + 2);
     ByteBufUtil.writeAscii(line, text);
--- /dev/null
+++ b/engine/src/main/java/shalepaddle/codec/meta/Names.java
@@ -0,0 +1,47 @@
+package shalepaddle.codec.meta;
+
+import io.netty.buffer.ByteBuf;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.List;
+
+/** Known names by their place in a list, found by their bytes: no string is made to look one up. */
+final class Names {
+  private final byte[][] names;
+
+  Names(List<String> names) {
+    this.names =
+        names.stream()
+            .map(name -> name.getBytes(StandardCharsets.ISO_8859_1))
+            .toArray(byte[][]::new);
+  }
+
+  /** The place of the name between two places of a line, -1 if it is not known. */
+  int find(byte[] line, int from, int to) {
+    for (int i = 0; i < names.length; i++) {
+      if (Arrays.equals(names[i], 0, names[i].length, line, from, to)) {
+        return i;
+      }
+    }
+    return -1;
+  }
+
+  /** The place of the name between two places of a buffer, -1 if it is not known. */
+  int find(ByteBuf line, int from, int to) {
+    for (int i = 0; i < names.length; i++) {
+      if (names[i].length == to - from && same(names[i], line, from)) {
+        return i;
+      }
+    }
+    return -1;
+  }
+
+  private static boolean same(byte[] name, ByteBuf line, int from) {
+    for (int i = 0; i < name.length; i++) {
+      if (line.getByte(from + i) != name[i]) {
+        return false;
+      }
+    }
+    return true;
+  }
+}
--- a/engine/src/main/java/shalepaddle/config/NodeConfig.java
+++ b/engine/src/main/java/shalepaddle/config/NodeConfig.java
@@ -5,8 +5,6 @@
 import java.nio.file.Files;
 import java.nio.file.InvalidPathException;
 import java.nio.file.Path;
-import java.util.Set;
-import java.util.stream.Collectors;
 import shalepaddle.membership.MemberList;
 import shalepaddle.model.Settings;
 import shalepaddle.settings.FormatException;
@@ -21,6 +19,7 @@
  * @param seed for random numbers
  * @param sockets file descriptors that the process may hold
  * @param memoryMb memory that the process may hold
+ * @param cores processor time that the process may use, in cores
  * @param known the list of servers as this node last had it
  * @param settings the object that an instance in the simulator is told
  */
@@ -30,6 +29,7 @@
     long seed,
     int sockets,
     int memoryMb,
+    double cores,
     MemberList known,
     Settings settings) {
 
@@ -77,6 +77,7 @@
         seed(config.requiredText("seed")),
         (int) limits.requiredNumber("sockets"),
         (int) limits.requiredNumber("memory_mb"),
+        limits.number("cores", 1),
         MemberList.parse(config.requiredNested("known")),
         settings);
   }
@@ -89,13 +90,6 @@
     }
   }
 
-  /** The names of the classes of requests. */
-  public Set<String> classes() {
-    return settings.services().stream()
-        .map(Settings.ServiceClass::name)
-        .collect(Collectors.toUnmodifiableSet());
-  }
-
   /** The longest time that a client may wait, in seconds. */
   public double longestDeadline() {
     return settings.services().stream()
--- a/engine/src/main/java/shalepaddle/engine/Dispatcher.java
+++ b/engine/src/main/java/shalepaddle/engine/Dispatcher.java
@@ -17,6 +17,8 @@
 import shalepaddle.model.Outcome;
 import shalepaddle.model.Request;
 import shalepaddle.model.Settings;
+import shalepaddle.overload.Intake;
+import shalepaddle.overload.OverloadControl;
 import shalepaddle.policy.Actions;
 import shalepaddle.policy.Balancer;
 
@@ -34,6 +36,18 @@
   /** How often requests are looked through for overdue ones after the module has failed. */
   private static final long RESCUE_MILLIS = 10;
 
+  /**
+   * How long one turn of the event loop begins requests, before those that it has read wait for the
+   * next. Guards against turns so long that no answer, timer or new request is looked at meanwhile.
+   */
+  private static final long TURN_NANOS = 3_000_000;
+
+  /** Requests that wait for a turn at most. */
+  private static final int MAX_WAITING = 1024;
+
+  /** A request that waits for its turn. */
+  private record Waiting(Exchange exchange, Request taken) {}
+
   /** Something that has happened, to be told to the module. */
   private interface Event {
     void tell(double now);
@@ -46,6 +60,8 @@
   private final Settings settings;
   private final Log log;
   private final Balancer balancer;
+  private final OverloadControl overload;
+  private final Intake<Waiting> intake;
   private final Map<String, Exchange> open = new HashMap<>();
   private final ArrayDeque<Event> events = new ArrayDeque<>();
 
@@ -57,6 +73,11 @@
   private boolean telling;
   private boolean rescuing;
 
+  /** The turn in which requests were begun last, and since when. */
+  private long turn = -1;
+
+  private long turnSince;
+
   /** The way to the servers and the source of their list, from {@link #start} on. */
   private Upstream upstream;
 
@@ -70,9 +91,18 @@
    * @param loop the thread that all of it runs on
    * @param loopClock that loop's clock
    * @param clock the node's time
+   * @param overload what is decided on the node's own overload
    */
   public Dispatcher(
-      Settings settings, long seed, EventLoop loop, LoopClock loopClock, Clock clock, Log log) {
+      Settings settings,
+      long seed,
+      EventLoop loop,
+      LoopClock loopClock,
+      Clock clock,
+      Log log,
+      OverloadControl overload) {
+    this.overload = overload;
+    this.intake = overload.intake(MAX_WAITING, this::turnAway);
     this.loop = loop;
     this.loopClock = loopClock;
     this.clock = clock;
@@ -177,10 +207,65 @@
     // Guards against deciding, right after a pause, on what was known before it, and against
     // writing
     // to connections whose end waits to be read.
-    loopClock.whenCaughtUp(() -> begin(request, taken));
+    loopClock.whenCaughtUp(() -> enter(request, taken));
     return request;
   }
 
+  /** Begins a request now, or lets it wait where this turn has begun as many as it should. */
+  private void enter(Exchange request, Request taken) {
+    long now = loopClock.now();
+    if (intake.size() == 0 && !turnSpent(now)) {
+      begin(request, taken);
+      return;
+    }
+    if (intake.size() == 0) {
+      beginLater();
+    }
+    intake.offer(
+        new Waiting(request, taken), overload.tier(taken.serviceClass(), taken.repeat()), now);
+  }
+
+  private boolean turnSpent(long now) {
+    if (turn != loopClock.turn()) {
+      turn = loopClock.turn();
+      turnSince = now;
+    }
+    return now - turnSince > TURN_NANOS;
+  }
+
+  /** Begins what waits, for as long as one turn may; the event loop then reads before the rest. */
+  private void beginWaiting() {
+    long since = loopClock.now();
+    long now = since;
+    while (now - since <= TURN_NANOS) {
+      Waiting next = intake.poll(now);
+      if (next == null) {
+        return;
+      }
+      double left = (next.exchange().deadlineNanos - now) / 1e9;
+      begin(next.exchange(), next.taken().within(Math.max(0, left)));
+      now = loopClock.now();
+    }
+    if (intake.size() > 0) {
+      beginLater();
+    }
+  }
+
+  /** In the next turn: what is executed at once runs in this one, before anything more is read. */
+  private void beginLater() {
+    loop.schedule(this::beginWaiting, 1, TimeUnit.NANOSECONDS);
+  }
+
+  /** Refuses what has waited too long: it has not been begun, so that a new try does no harm. */
+  private void turnAway(Waiting waiting) {
+    end(waiting.exchange(), new Reply.Refused(overload.advice()));
+  }
+
+  /** Nanoseconds for which a request has waited for its turn, 0 if none waits. */
+  public long oldestWaiting() {
+    return intake.oldest(loopClock.now());
+  }
+
   private void begin(Exchange request, Request taken) {
     if (request.ended) {
       return;
@@ -224,6 +309,7 @@
       return;
     }
     closed = true;
+    intake.clear();
     for (Exchange request : List.copyOf(open.values())) {
       end(request, request.mayHaveRun() ? new Reply.Failed(true) : new Reply.Refused(0));
       for (Attempt attempt : request.attempts) {
--- a/engine/src/main/java/shalepaddle/front/ClientCommand.java
+++ b/engine/src/main/java/shalepaddle/front/ClientCommand.java
@@ -11,15 +11,26 @@
  * @param error whether that answer says that the client broke the protocol
  * @param lost whether the client's bytes can no longer be told apart, so that its connection must
  *     close
+ * @param refused whether it was a request, of which no more was read than it takes to refuse it
  * @param request what it asks for, null where it is answered at once
  * @param payload what is passed on, null where it is answered at once
  */
 public record ClientCommand(
-    ByteBuf answer, boolean error, boolean lost, Request request, Payload payload) {
+    ByteBuf answer,
+    boolean error,
+    boolean lost,
+    boolean refused,
+    Request request,
+    Payload payload) {
 
   /** A request for the engine. */
   public static ClientCommand of(Request request, Payload payload) {
-    return new ClientCommand(null, false, false, request, payload);
+    return new ClientCommand(null, false, false, false, request, payload);
+  }
+
+  /** A request that is refused in these words. */
+  public static ClientCommand refused(ByteBuf answer) {
+    return new ClientCommand(answer, false, false, true, null, null);
   }
 
   /** Lets go what it holds. */
--- a/engine/src/main/java/shalepaddle/front/ClientFront.java
+++ b/engine/src/main/java/shalepaddle/front/ClientFront.java
@@ -3,7 +3,9 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoop;
+import java.util.function.Supplier;
 import shalepaddle.engine.Dispatcher;
+import shalepaddle.overload.Posture;
 
 /**
  * The front of one client protocol: what is done with each connection that a listener accepts. All
@@ -13,15 +15,19 @@
   private final Dispatcher dispatcher;
   private final ClientCodec codec;
   private final ClientConnections clients;
+  private final Turns turns;
 
   /**
    * A front without connections.
    *
    * @param limit connections that it holds at most
+   * @param posture what to do without now
    */
-  public ClientFront(Dispatcher dispatcher, ClientCodec codec, int limit) {
+  public ClientFront(
+      Dispatcher dispatcher, ClientCodec codec, int limit, Supplier<Posture> posture) {
     this.dispatcher = dispatcher;
     this.codec = codec;
+    this.turns = new Turns(posture);
     this.clients = new ClientConnections(limit, dispatcher.clock());
   }
 
@@ -32,7 +38,9 @@
       return;
     }
     ClientCodec.CommandDecoder decoder = codec.decoder();
-    channel.pipeline().addLast(decoder, new ClientHandler(dispatcher, clients, codec, decoder));
+    channel
+        .pipeline()
+        .addLast(decoder, new ClientHandler(dispatcher, clients, codec, decoder, turns));
   }
 
   /** Closes what has been of no use for too long. Not to be called while the loop is behind. */
--- a/engine/src/main/java/shalepaddle/front/ClientHandler.java
+++ b/engine/src/main/java/shalepaddle/front/ClientHandler.java
@@ -19,12 +19,6 @@
 
 /** A client's connection: takes its commands and gives the answers in their order. */
 final class ClientHandler extends ChannelInboundHandlerAdapter {
-  /**
-   * Answers that one connection may be owed before no more is read from it. Guards against a client
-   * that sends commands and reads no answers.
-   */
-  private static final int MAX_OWED = 64;
-
   /** Errors after which a connection is closed: its client does not speak the protocol. */
   private static final int MAX_ERRORS = 8;
 
@@ -51,8 +45,19 @@
   /** Whether a command was left to be read to its end though its time was up. */
   private boolean spared;
 
+  private final Turns turns;
+  private final Turns.Count sent = new Turns.Count();
   private int errors;
+
+  /** Whether nothing is read for a while, for errors or for having sent the most. */
   private boolean penalized;
+
+  /**
+   * Whether bytes are being read, of which not all have been looked at: answers go out together.
+   */
+  private boolean reading;
+
+  private boolean unflushed;
   private boolean used;
   private boolean closing;
 
@@ -63,7 +68,9 @@
       Dispatcher dispatcher,
       ClientConnections connections,
       ClientCodec codec,
-      ClientCodec.CommandDecoder decoder) {
+      ClientCodec.CommandDecoder decoder,
+      Turns turns) {
+    this.turns = turns;
     this.codec = codec;
     this.dispatcher = dispatcher;
     this.clock = dispatcher.clock();
@@ -97,8 +104,12 @@
       waiting = bytes;
       if (slots.peek() == this) {
         advance();
-        channel.flush();
-        stand();
+        if (reading) {
+          unflushed = true;
+        } else {
+          channel.flush();
+          stand();
+        }
       }
     }
   }
@@ -139,11 +150,16 @@
     channel
         .config()
         .setAutoRead(
-            channel.isWritable() && slots.size() < MAX_OWED && !penalized && !decoder.lost());
+            channel.isWritable() && slots.size() < turns.owed() && !penalized && !decoder.lost());
   }
 
   private void penalize() {
     errors++;
+    pause(TimeUnit.MILLISECONDS.toNanos(PENALTY_MILLIS));
+  }
+
+  /** Reads nothing for so long. */
+  private void pause(long nanos) {
     if (!penalized) {
       penalized = true;
       steer();
@@ -154,8 +170,8 @@
                 penalized = false;
                 steer();
               },
-              PENALTY_MILLIS,
-              TimeUnit.MILLISECONDS);
+              nanos,
+              TimeUnit.NANOSECONDS);
     }
   }
 
@@ -176,7 +192,9 @@
       command.release();
       return;
     }
-    used |= command.answer() == null;
+    reading = true;
+    boolean asks = command.refused() || command.answer() == null;
+    used |= asks;
     Slot slot = new Slot();
     slots.add(slot);
     stand();
@@ -197,13 +215,22 @@
       slot.last = command.lost() || errors >= MAX_ERRORS;
       slot.whole(answer);
     }
-    if (slots.size() >= MAX_OWED) {
+    long pause = asks ? turns.pause(sent, clock.now()) : 0;
+    if (pause > 0) {
+      pause(pause);
+    }
+    if (slots.size() >= turns.owed()) {
       steer();
     }
   }
 
   @Override
   public void channelReadComplete(ChannelHandlerContext ctx) {
+    reading = false;
+    if (unflushed) {
+      unflushed = false;
+      channel.flush();
+    }
     stand();
   }
 
--- /dev/null
+++ b/engine/src/main/java/shalepaddle/front/Gate.java
@@ -0,0 +1,41 @@
+package shalepaddle.front;
+
+/**
+ * Asked about each request before more of it is read than names its class, tenant, key and repeat,
+ * and before anything is allocated that a refused one does not need.
+ *
+ * <p>Called on the event loop alone.
+ */
+public interface Gate {
+  /** The answer for a request that is admitted. */
+  long ADMITTED = -1;
+
+  /** Admits all and counts nothing. */
+  Gate OPEN =
+      new Gate() {
+        @Override
+        public boolean shuts() {
+          return false;
+        }
+
+        @Override
+        public long ask(int serviceClass, int tenant, long subject, boolean repeat) {
+          return ADMITTED;
+        }
+      };
+
+  /** Whether any request may be refused now: while not, none needs to be looked at early. */
+  boolean shuts();
+
+  /**
+   * A request has come.
+   *
+   * @param serviceClass the place of its class in the settings
+   * @param tenant the place of its tenant there, -1 for none that is known
+   * @param subject a hash of its key
+   * @param repeat whether its client marked it as a repeat
+   * @return {@link #ADMITTED}, or in how many milliseconds its client should come again, 0 for no
+   *     advice
+   */
+  long ask(int serviceClass, int tenant, long subject, boolean repeat);
+}
--- a/engine/src/main/java/shalepaddle/loop/LoopClock.java
+++ b/engine/src/main/java/shalepaddle/loop/LoopClock.java
@@ -43,6 +43,12 @@
 
     /** A task that had waited for the loop to catch up has failed. */
     void failed(RuntimeException cause);
+
+    /**
+     * A turn ends: it began to handle what had come at one time, and goes back to listening at the
+     * other. The two are the same where nothing had come.
+     */
+    default void turned(long begunAt, long now) {}
   }
 
   private final List<Runnable> waiting = new ArrayList<>();
@@ -52,6 +58,12 @@
   private long stood;
   private int turnsLeft;
   private boolean pausedInTurn;
+  private long turn;
+
+  /** When the first thing that came in this turn was looked at. */
+  private long busySince;
+
+  private boolean busy;
 
   /** The clock of a loop that begins now. */
   public LoopClock(Ticker ticker, Listener listener) {
@@ -77,6 +89,10 @@
   public long look(long now) {
     long gap = now - seenAt;
     seenAt = now;
+    if (!busy) {
+      busy = true;
+      busySince = now;
+    }
     if (gap > PAUSE_NANOS) {
       stood += gap - BEAT_NANOS;
       pausedInTurn = true;
@@ -93,6 +109,11 @@
     return look(ticker.nanoTime());
   }
 
+  /** The number of the present turn: what is done in one turn keeps all else waiting. */
+  public long turn() {
+    return turn;
+  }
+
   /** Nanoseconds in which the loop was there to listen, from an arbitrary start. */
   public long listened() {
     return seenAt - stood;
@@ -120,6 +141,10 @@
   /** The loop begins to look for what has come. */
   void turnBegins(long now) {
     look(now);
+    listener.turned(busySince, now);
+    // What was looked at up to here belongs to the turn that ends.
+    busy = false;
+    turn++;
     pausedInTurn = false;
   }
 
--- a/engine/src/main/java/shalepaddle/loop/Timers.java
+++ b/engine/src/main/java/shalepaddle/loop/Timers.java
@@ -14,13 +14,6 @@
  * and the loop would poll its sockets over and over until it does.
  */
 public final class Timers {
-  /** Is told how late the loop is. */
-  @FunctionalInterface
-  public interface Lateness {
-    /** What was due then runs now, in nanoseconds of the loop's ticker. */
-    void ran(long dueAt, long now);
-  }
-
   private final EventLoop loop;
   private final LoopClock clock;
   private final Log log;
@@ -29,7 +22,6 @@
   private final TreeMap<Long, List<Timer>> due = new TreeMap<>();
   private long armedFor = Long.MAX_VALUE;
   private Future<?> armed;
-  private Lateness lateness = (dueAt, now) -> {};
 
   public Timers(EventLoop loop, LoopClock clock, Log log, long tickNanos) {
     this.loop = loop;
@@ -39,11 +31,6 @@
     this.start = clock.now();
   }
 
-  /** From now on tells of each alarm. */
-  public void watch(Lateness lateness) {
-    this.lateness = lateness;
-  }
-
   /** Something to be done at a time, unless it is called off before. */
   public static final class Timer {
     private Runnable task;
@@ -148,10 +135,7 @@
    * and has not been read: that is read first.
    */
   private void alarm() {
-    long now = clock.look();
-    if (armedFor != Long.MAX_VALUE) {
-      lateness.ran(start + armedFor * tickNanos, now);
-    }
+    clock.look();
     clock.whenCaughtUp(this::run);
   }
 
--- a/engine/src/main/java/shalepaddle/node/LoadBalancer.java
+++ b/engine/src/main/java/shalepaddle/node/LoadBalancer.java
@@ -11,10 +11,12 @@
 import shalepaddle.codec.meta.MetaClientCodec;
 import shalepaddle.codec.meta.MetaServerCodec;
 import shalepaddle.config.NodeConfig;
+import shalepaddle.config.OperatorFile;
 import shalepaddle.engine.Dispatcher;
 import shalepaddle.engine.Engine;
 import shalepaddle.engine.MemoryBudget;
 import shalepaddle.front.ClientFront;
+import shalepaddle.front.Gate;
 import shalepaddle.loop.Clock;
 import shalepaddle.loop.Log;
 import shalepaddle.loop.LoopClock;
@@ -24,7 +26,8 @@
 import shalepaddle.model.MembershipUpdate;
 import shalepaddle.model.Settings;
 import shalepaddle.overload.Level;
-import shalepaddle.overload.OverloadMeter;
+import shalepaddle.overload.OverloadControl;
+import shalepaddle.overload.OverloadReading;
 import shalepaddle.overload.Resource;
 import shalepaddle.upstream.ServerPool;
 import shalepaddle.upstream.ServerPools;
@@ -34,7 +37,7 @@
  * cache servers and the list of them, put together. It knows nothing of processes and signals, so
  * that the same code runs in a daemon, in another program, and in virtual time.
  *
- * <p>All methods are to be called on the event loop, but for {@link #engine}.
+ * <p>All methods are to be called on the event loop, but for {@link #engine} and {@link #overload}.
  */
 public final class LoadBalancer {
   /**
@@ -58,6 +61,9 @@
    */
   private static final long MEASURE_NANOS = 25_000_000L;
 
+  /** Buffers kept for reuse are given back no more often: they would have to be made anew. */
+  private static final long TRIM_NANOS = 1_000_000_000L;
+
   /** Calls from other threads that may wait for the event loop. */
   private static final int MAX_SUBMITTED = 4096;
 
@@ -85,31 +91,34 @@
   private final ServerPools pools;
   private final DiscoveryClient discovery;
   private final ClientFront front;
-  private final OverloadMeter overload = new OverloadMeter(this::told);
+  private final OverloadControl overload;
+  private final ProcessorUse processor;
   private Channel listener;
+  private long trimmedAt;
+  private volatile OverloadReading reading;
   private boolean closed;
 
   /** One that opens as many connections to each server as its part of the tier allows. */
   public LoadBalancer(
       NodeConfig config,
+      OperatorFile operator,
       EventLoop loop,
       LoopClock clock,
       Clock time,
       Transport transport,
       Log log) {
-    this(
-        config,
-        Math.max(1, TIER_CONNECTIONS / config.settings().instances()),
-        loop,
-        clock,
-        time,
-        transport,
-        log);
+    this(config, operator, connections(config), loop, clock, time, transport, log);
+  }
+
+  /** How many connections to each server are this node's part of the tier's. */
+  static int connections(NodeConfig config) {
+    return Math.max(1, TIER_CONNECTIONS / config.settings().instances());
   }
 
   /** One that opens so many connections to each server at most. */
   LoadBalancer(
       NodeConfig config,
+      OperatorFile operator,
       int connections,
       EventLoop loop,
       LoopClock clock,
@@ -123,7 +132,10 @@
     this.transport = transport;
     this.log = log;
     Settings settings = config.settings();
-    dispatcher = new Dispatcher(settings, config.seed(), loop, clock, time, log);
+    overload = new OverloadControl(settings, operator.overload(), config.seed(), this::told);
+    reading = overload.reading();
+    processor = new ProcessorUse(config.cores());
+    dispatcher = new Dispatcher(settings, config.seed(), loop, clock, time, log, overload);
     engine = new Engine(loop, dispatcher, MAX_SUBMITTED);
     pools =
         new ServerPools(
@@ -145,8 +157,22 @@
     front =
         new ClientFront(
             dispatcher,
-            new MetaClientCodec(values, config.classes()),
-            (int) (config.sockets() * CLIENT_SHARE));
+            new MetaClientCodec(values, settings, new Entrance()),
+            (int) (config.sockets() * CLIENT_SHARE),
+            overload::posture);
+  }
+
+  /** Asks whether a request is admitted, at the time of the loop. */
+  private final class Entrance implements Gate {
+    @Override
+    public boolean shuts() {
+      return overload.shedding();
+    }
+
+    @Override
+    public long ask(int serviceClass, int tenant, long subject, boolean repeat) {
+      return overload.ask(serviceClass, tenant, subject, repeat, clock.now());
+    }
   }
 
   private static ServerPool.Limits serverLimits(NodeConfig config, int connections) {
@@ -197,7 +223,6 @@
           if (done.isSuccess()) {
             listener = bound.channel();
             sweepLater();
-            dispatcher.timers().watch(overload::ran);
             measure();
           }
         });
@@ -213,10 +238,17 @@
     double heapShare = (double) (heap.totalMemory() - heap.freeMemory()) / heap.maxMemory();
     double buffers = transport.memoryShare();
     double descriptors = OWN_DESCRIPTORS + front.size() + pools.connections();
+    long now = clock.now();
     overload.uses(
+        processor.share(now),
         Double.isNaN(buffers) ? heapShare : Math.max(heapShare, buffers),
         descriptors / config.sockets(),
-        clock.now());
+        now);
+    reading = overload.reading();
+    if (overload.posture().trims() && now - trimmedAt > TRIM_NANOS) {
+      trimmedAt = now;
+      transport.trim();
+    }
     dispatcher.timers().after(MEASURE_NANOS, this::measure);
   }
 
@@ -229,9 +261,12 @@
     log.line("overload: " + resource + " " + before + " -> " + now + ", " + what);
   }
 
-  /** How short the process is of this. */
-  public Level level(Resource resource) {
-    return overload.level(resource);
+  /**
+   * What is measured and decided of the process's own overload, as it stood some milliseconds ago.
+   * From any thread.
+   */
+  public OverloadReading overload() {
+    return reading;
   }
 
   private void sweepLater() {
@@ -248,7 +283,7 @@
     if (!closed) {
       sweepLater();
       front.sweep();
-      pools.closeStale(clock.look());
+      pools.closeStale(clock.look(), overload.posture().idleNanos());
       pools.closeStalled();
     }
   }
@@ -259,8 +294,17 @@
     discovery.moveTo(address);
   }
 
+  /** A turn of the loop ends that began then, see {@link LoopClock.Listener#turned}. */
+  public void turned(long begunAt, long now) {
+    // Not while it starts: loading and compiling its classes is one long turn after the other.
+    if (listener != null) {
+      overload.turned(begunAt, now, dispatcher.oldestWaiting());
+    }
+  }
+
   /** The loop has stood still until now. */
   public void paused(long nanos) {
+    overload.paused(nanos, clock.now());
     dispatcher.paused(nanos);
   }
 
--- a/engine/src/main/java/shalepaddle/node/Node.java
+++ b/engine/src/main/java/shalepaddle/node/Node.java
@@ -10,12 +10,14 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import shalepaddle.config.NodeConfig;
+import shalepaddle.config.OperatorFile;
 import shalepaddle.engine.Dispatcher;
 import shalepaddle.engine.Engine;
 import shalepaddle.loop.Clock;
 import shalepaddle.loop.Log;
 import shalepaddle.loop.LoopClock;
 import shalepaddle.loop.WatchedIoHandler;
+import shalepaddle.overload.OverloadReading;
 import shalepaddle.settings.FormatException;
 
 /** One load balancer as a process of its own: its event loop, its start, and its end in order. */
@@ -40,21 +42,18 @@
   private volatile boolean listening;
 
   /** A node that is not listening yet. */
-  public Node(NodeConfig config) {
-    this.config = config;
-    clock = new LoopClock(Ticker.systemTicker(), new Pauses());
-    group = group(clock);
-    loop = group.next();
-    balancer = new LoadBalancer(config, loop, clock, clock(), transport, log);
+  public Node(NodeConfig config, OperatorFile operator) {
+    this(config, operator, LoadBalancer.connections(config));
   }
 
   /** A node that opens so many connections to each server. */
-  Node(NodeConfig config, int connections) {
+  Node(NodeConfig config, OperatorFile operator, int connections) {
     this.config = config;
     clock = new LoopClock(Ticker.systemTicker(), new Pauses());
     group = group(clock);
     loop = group.next();
-    balancer = new LoadBalancer(config, connections, loop, clock, clock(), transport, log);
+    balancer =
+        new LoadBalancer(config, operator, connections, loop, clock, clock(), transport, log);
   }
 
   private static MultiThreadIoEventLoopGroup group(LoopClock clock) {
@@ -77,22 +76,35 @@
       balancer.paused(nanos);
     }
 
+    @Override
+    public void turned(long begunAt, long now) {
+      if (listening) {
+        balancer.turned(begunAt, now);
+      }
+    }
+
     @Override
     public void failed(RuntimeException cause) {
       log.failure("after a pause", cause);
     }
   }
 
-  /** Runs a node until it is told to end; returns the exit code. */
-  public static int serve(String configFile) throws InterruptedException {
+  /**
+   * Runs a node until it is told to end; returns the exit code.
+   *
+   * @param operatorFile what the operator sets, null for the usual
+   */
+  public static int serve(String configFile, String operatorFile) throws InterruptedException {
     NodeConfig config;
+    OperatorFile operator;
     try {
       config = NodeConfig.load(configFile);
+      operator = operatorFile == null ? OperatorFile.USUAL : OperatorFile.load(operatorFile);
     } catch (FormatException e) {
       System.err.println("serve: " + e.getMessage());
       return 2;
     }
-    Node node = new Node(config);
+    Node node = new Node(config, operator);
     node.prepare();
     // Before it listens: who sees a node answer may signal it at once.
     Runtime.getRuntime().addShutdownHook(new Thread(node::drain, "drain"));
@@ -130,10 +142,14 @@
 
   /**
    * Starts a node that knows no servers, and ends it: at the build, so that the virtual machine can
-   * archive the classes that a start loads. Returns the exit code.
+   * archive the classes that a start loads, those that read the operator's file among them. Returns
+   * the exit code.
    */
-  public static int rehearse() throws InterruptedException {
-    try (Node node = new Node(NodeConfig.rehearsal())) {
+  public static int rehearse(String operatorFile) throws InterruptedException {
+    try (Node node =
+        new Node(
+            NodeConfig.rehearsal(),
+            operatorFile == null ? OperatorFile.USUAL : OperatorFile.load(operatorFile))) {
       node.start();
       return 0;
     } catch (IOException | FormatException e) {
@@ -200,6 +216,11 @@
     return balancer.dispatcher();
   }
 
+  /** See {@link LoadBalancer#overload}. From any thread. */
+  public OverloadReading overload() {
+    return balancer.overload();
+  }
+
   /** The edge at which any thread may hand calls in. */
   public Engine engine() {
     return balancer.engine();
--- a/engine/src/main/java/shalepaddle/node/Transport.java
+++ b/engine/src/main/java/shalepaddle/node/Transport.java
@@ -21,6 +21,9 @@
     return Double.NaN;
   }
 
+  /** Gives back memory that is kept for buffers to come, as far as that can be told. */
+  default void trim() {}
+
   /** Opens connections to cache servers and to discovery. */
   Bootstrap connector(EventLoop loop);
 
@@ -42,6 +45,11 @@
         return (double) allocator.pinnedDirectMemory() / PlatformDependent.maxDirectMemory();
       }
 
+      @Override
+      public void trim() {
+        allocator.trimCurrentThreadCache();
+      }
+
       @Override
       public Bootstrap connector(EventLoop loop) {
         return new Bootstrap()
--- a/engine/src/main/java/shalepaddle/node/Warmup.java
+++ b/engine/src/main/java/shalepaddle/node/Warmup.java
@@ -30,6 +30,7 @@
 import shalepaddle.engine.MemoryBudget;
 import shalepaddle.front.ClientCommand;
 import shalepaddle.front.ClientFront;
+import shalepaddle.front.Gate;
 import shalepaddle.loop.Clock;
 import shalepaddle.loop.Log;
 import shalepaddle.loop.LoopClock;
@@ -38,6 +39,9 @@
 import shalepaddle.model.MembershipUpdate;
 import shalepaddle.model.ServerEntry;
 import shalepaddle.model.Settings;
+import shalepaddle.overload.OverloadControl;
+import shalepaddle.overload.Posture;
+import shalepaddle.overload.Tuning;
 import shalepaddle.upstream.ServerPool;
 import shalepaddle.upstream.ServerPools;
 
@@ -81,7 +85,8 @@
       channels.add(listen(loop, allocator, caches, new Cache(config)));
       Clock time = new Clock(loop.ticker(), System.currentTimeMillis());
       Dispatcher dispatcher =
-          new Dispatcher(pushed(config.settings()), config.seed(), loop, clock, time, log);
+          new Dispatcher(
+              pushed(config.settings()), config.seed(), loop, clock, time, log, calm(config));
       ServerPools pools = pools(dispatcher, loop, allocator);
       loop.submit(() -> dispatcher.start(pools, MemberSource.FIXED)).await();
       List<MemberList.Member> members = new ArrayList<>();
@@ -99,8 +104,13 @@
               })
           .await();
       MemoryBudget values = new MemoryBudget(1 << 20);
-      MetaClientCodec codec = new MetaClientCodec(values, config.classes());
-      channels.add(listen(loop, allocator, front, new ClientFront(dispatcher, codec, AT_ONCE)));
+      MetaClientCodec codec = new MetaClientCodec(values, config.settings(), Gate.OPEN);
+      channels.add(
+          listen(
+              loop,
+              allocator,
+              front,
+              new ClientFront(dispatcher, codec, AT_ONCE, () -> Posture.CALM)));
       Client client = new Client(config.settings());
       channels.add(
           new Bootstrap()
@@ -151,6 +161,12 @@
     return bound.channel();
   }
 
+  /** Sheds nothing: a loop that compiles is late, and nobody is there to be refused. */
+  private static OverloadControl calm(NodeConfig config) {
+    return new OverloadControl(
+        config.settings(), Tuning.OFF, config.seed(), (resource, before, now, figure) -> {});
+  }
+
   /** The same settings, where nobody has to be asked for the list of servers. */
   private static Settings pushed(Settings s) {
     return new Settings(
@@ -160,6 +176,7 @@
         s.number(),
         s.instances(),
         false,
+        s.marksRepeats(),
         s.weights(),
         s.cache(),
         s.limits(),
@@ -189,7 +206,7 @@
     private final MetaClientCodec codec;
 
     Cache(NodeConfig config) {
-      codec = new MetaClientCodec(new MemoryBudget(1 << 20), config.classes());
+      codec = new MetaClientCodec(new MemoryBudget(1 << 20), config.settings(), Gate.OPEN);
     }
 
     @Override
--- a/engine/src/main/java/shalepaddle/upstream/ServerPools.java
+++ b/engine/src/main/java/shalepaddle/upstream/ServerPools.java
@@ -112,10 +112,13 @@
     }
   }
 
-  /** Closes connections that have been idle for so long that the server might. */
-  public void closeStale(long now) {
+  /**
+   * Closes connections that have been idle for so long that the server might, and those idle for
+   * longer than what is short allows.
+   */
+  public void closeStale(long now, long mostNanos) {
     for (ServerPool pool : pools.values()) {
-      pool.closeIdle(now - limits.idleNanos());
+      pool.closeIdle(now - Math.min(mostNanos, limits.idleNanos()));
     }
   }
 }
--- /dev/null
+++ b/engine/src/test/java/shalepaddle/node/OperatorFileTest.java
@@ -0,0 +1,66 @@
+package shalepaddle.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import shalepaddle.config.OperatorFile;
+import shalepaddle.overload.Tuning;
+import shalepaddle.settings.FormatException;
+
+class OperatorFileTest {
+  @TempDir private Path folder;
+
+  private OperatorFile load(String text) throws Exception {
+    Path file = folder.resolve("operator.toml");
+    Files.writeString(file, text.replace(';', '\n'));
+    return OperatorFile.load(file.toString());
+  }
+
+  @Test
+  void theFileThatIsDeployedSaysWhatHoldsWithoutIt() throws Exception {
+    assertEquals(OperatorFile.USUAL, OperatorFile.load("deploy/operator.toml"));
+    assertEquals(OperatorFile.USUAL, load(""));
+  }
+
+  @Test
+  void figuresAreTakenInTheirUnits() throws Exception {
+    assertEquals(
+        new Tuning(false, 0.02, 0.05, 0.2, 0.1, 0.25),
+        load("[overload];shed = false;target_ms = 20;learn = 0.05;repeats = 0.2;"
+                + "waits_ms = 100;advice_ms = 250")
+            .overload());
+  }
+
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        "# a;[overload];target = 5|line 3: overload.target is not known; known are shed, target_ms",
+        "[overlaod]|line 1: overlaod is not known; known are overload",
+        "overload = 3|line 1: overload must be a table: write [overload] on a line of its own",
+        "[overload];;shed = 'no'|line 3: shed must be true or false, without quotes",
+        "[overload];learn = '5'|line 2: learn must be a number, such as 0.02",
+        "[overload];learn = 0.02;target_ms = 0|line 3: target_ms is 0.0, and must be from 1.0 to",
+        "[overload];learn = |line 2: "
+      })
+  void whatIsWrongIsNamedWithItsLine(String text, String message) {
+    FormatException e = assertThrows(FormatException.class, () -> load(text));
+    String said = e.getMessage();
+    String from = said.substring(said.indexOf(", line ") + 2);
+    assertEquals(
+        message.strip(), from.substring(0, Math.min(from.length(), message.length())).strip());
+  }
+
+  @Test
+  void aFileThatIsNotThereIsNamed() {
+    FormatException e =
+        assertThrows(FormatException.class, () -> OperatorFile.load("no/such/file.toml"));
+    assertEquals("cannot read the operator file no/such/file.toml", e.getMessage());
+  }
+}
--- /dev/null
+++ b/engine/src/test/java/shalepaddle/node/TurnsTest.java
@@ -0,0 +1,216 @@
+package shalepaddle.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ManualIoEventLoop;
+import io.netty.channel.local.LocalIoHandler;
+import io.netty.util.concurrent.MockTicker;
+import io.netty.util.concurrent.Ticker;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import shalepaddle.config.NodeConfig;
+import shalepaddle.engine.Attempt;
+import shalepaddle.engine.Call;
+import shalepaddle.engine.Dispatcher;
+import shalepaddle.engine.Exchange;
+import shalepaddle.engine.Payload;
+import shalepaddle.engine.Reply;
+import shalepaddle.engine.Upstream;
+import shalepaddle.loop.Clock;
+import shalepaddle.loop.Log;
+import shalepaddle.loop.LoopClock;
+import shalepaddle.loop.WatchedIoHandler;
+import shalepaddle.membership.MemberSource;
+import shalepaddle.model.MembershipUpdate;
+import shalepaddle.model.Request;
+import shalepaddle.model.ServerEntry;
+import shalepaddle.overload.OverloadControl;
+import shalepaddle.overload.Tuning;
+import shalepaddle.settings.JsonObject;
+
+/** A dispatcher whose every send takes 2 ms of a clock that runs for nothing else. */
+class TurnsTest {
+  private final MockTicker ticker = Ticker.newMockTicker();
+  private final List<String> sent = new ArrayList<>();
+  private final List<Reply> replies = new ArrayList<>();
+  private final List<String> refused = new ArrayList<>();
+  private final List<Long> turns = new ArrayList<>();
+  private int released;
+
+  private final LoopClock clock =
+      new LoopClock(
+          ticker,
+          new LoopClock.Listener() {
+            @Override
+            public void paused(long nanos) {
+              throw new AssertionError("a turn with work in it is no pause");
+            }
+
+            @Override
+            public void failed(RuntimeException cause) {
+              throw cause;
+            }
+
+            @Override
+            public void turned(long begunAt, long now) {
+              turns.add(TimeUnit.NANOSECONDS.toMillis(now - begunAt));
+            }
+          });
+
+  private final ManualIoEventLoop loop =
+      new ManualIoEventLoop(
+          null,
+          Thread.currentThread(),
+          WatchedIoHandler.factory(LocalIoHandler.newFactory(), clock),
+          ticker);
+  private final Dispatcher dispatcher;
+
+  TurnsTest() throws Exception {
+    NodeConfig config =
+        NodeConfig.parse(
+            JsonObject.parse(
+                """
+                {"listen":"127.0.0.1:0","discovery":"127.0.0.1:9","seed":"1",
+                 "limits":{"sockets":256,"memory_mb":128},
+                 "known":{"version":1,"full":true,"servers":[]},
+                 "settings":{"discovery":"push",
+                  "caps":{"attempts-cap":1,"connect-timeout":0.15,"conn-idle":60},
+                  "contract":{"ask-within":10,"drain-grace":2,"cold-from":0.1,"warm-within":1},
+                  "services":[
+                   {"name":"read","effect":"retryable","slo":0.75,"give-up":2,"credit":2},
+                   {"name":"write","effect":"fragile","slo":0.3,"give-up":2,"credit":5}]}}
+                """));
+    Log log = new Log(ticker, line -> {});
+    OverloadControl overload =
+        new OverloadControl(
+            config.settings(), Tuning.USUAL, 1, (resource, before, now, figure) -> {});
+    dispatcher =
+        new Dispatcher(config.settings(), 1, loop, clock, new Clock(ticker, 0), log, overload);
+    dispatcher.start(
+        new Upstream() {
+          @Override
+          public void send(Attempt attempt) {
+            sent.add(attempt.request.id());
+            ticker.advance(2, TimeUnit.MILLISECONDS);
+          }
+
+          @Override
+          public void withdraw(Attempt attempt, boolean overdue) {}
+
+          @Override
+          public void closeIdle(long server) {}
+        },
+        MemberSource.FIXED);
+    dispatcher.membership(
+        new MembershipUpdate(
+            MembershipUpdate.Kind.FULL,
+            1,
+            List.of(new ServerEntry(7, "a", "m", 0, ServerEntry.State.READY, 1, 0))));
+  }
+
+  @AfterEach
+  void nothingIsLeft() {
+    dispatcher.close();
+    assertEquals(0, dispatcher.openRequests());
+    assertEquals(released, replies.size(), "each payload is released once");
+    loop.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+    loop.runNow();
+  }
+
+  private Exchange submit(String id, boolean write) {
+    Payload payload =
+        new Payload() {
+          private boolean over;
+
+          @Override
+          public ByteBuf value() {
+            return null;
+          }
+
+          @Override
+          public void release() {
+            released += over ? 0 : 1;
+            over = true;
+          }
+        };
+    Request request = new Request(id, null, write ? "write" : "read", null, 1, 0, 0, false, write);
+    return dispatcher.submit(
+        new Call(
+            request,
+            payload,
+            reply -> {
+              replies.add(reply);
+              if (reply instanceof Reply.Refused) {
+                refused.add(id);
+              }
+            }));
+  }
+
+  /** Lets the loop run once, as it does after it has read. */
+  private void turn() {
+    ticker.advance(1, TimeUnit.MICROSECONDS);
+    loop.runNow();
+  }
+
+  @Test
+  void whatOneTurnCanNotBeginIsBegunInLaterOnesAndWritesComeFirst() {
+    for (int i = 1; i <= 5; i++) {
+      submit("r" + i, false);
+    }
+    submit("w1", true);
+    assertEquals(List.of("r1", "r2"), sent, "no more than 3 ms are begun with in one turn");
+    assertTrue(dispatcher.oldestWaiting() <= TimeUnit.MILLISECONDS.toNanos(3));
+    turn();
+    assertEquals(List.of("r1", "r2", "w1", "r3"), sent);
+    submit("r6", false);
+    turn();
+    turn();
+    turn();
+    assertEquals(List.of("r1", "r2", "w1", "r3", "r4", "r5", "r6"), sent);
+    assertEquals(0, dispatcher.oldestWaiting());
+  }
+
+  @Test
+  void whatWaitsTooLongIsRefusedAndNeverSent() {
+    for (int i = 0; i < 100; i++) {
+      submit("r" + i, false);
+    }
+    for (int i = 0; i < 60; i++) {
+      turn();
+    }
+    assertEquals(100, sent.size() + refused.size());
+    assertTrue(refused.size() > 50, refused.size() + " refused");
+    assertTrue(refused.stream().noneMatch(sent::contains), "sent and refused");
+    assertTrue(
+        turns.stream().allMatch(millis -> millis <= 6), "turns of " + turns + " milliseconds");
+  }
+
+  @Test
+  void whoLeavesWhileItWaitsIsNotSent() {
+    submit("r1", false);
+    submit("r2", false);
+    Exchange gone = submit("r3", false);
+    dispatcher.clientGone(gone);
+    turn();
+    turn();
+    assertEquals(List.of("r1", "r2"), sent);
+    replies.add(null); // It is owed no reply; its payload is released all the same.
+  }
+
+  @Test
+  void anEndRefusesWhatWaits() {
+    for (int i = 1; i <= 5; i++) {
+      submit("r" + i, false);
+    }
+    dispatcher.close();
+    assertEquals(List.of("r3", "r4", "r5"), refused.subList(0, 3));
+    assertEquals(5, replies.size(), "those that were begun hear of the end too");
+    turn();
+    assertEquals(List.of("r1", "r2"), sent);
+  }
+}
--- a/settings/src/main/java/shalepaddle/settings/SettingsFormat.java
+++ b/settings/src/main/java/shalepaddle/settings/SettingsFormat.java
@@ -38,6 +38,7 @@
         (int) conf.number("my-number", 0),
         Math.max(1, (int) conf.number("instances", 1)),
         conf.text("discovery", "push").equals("ask"),
+        conf.nested("clients").flag("marks-retry"),
         switch (conf.text("weight-kind", "silent")) {
           case "nominal" -> Settings.Weights.NOMINAL;
           case "rough" -> Settings.Weights.ROUGH;
