--- a/engine/src/main/java/shalepaddle/codec/meta/MetaCommandDecoder.java
+++ b/engine/src/main/java/shalepaddle/codec/meta/MetaCommandDecoder.java
@@ -38,7 +38,7 @@
   private int missing;
   private boolean lost;
 
-  /** Whether the gate has been asked about the line that is read now. */
+  /** Whether the gate has admitted the line that is read next. */
   private boolean asked;
 
   MetaCommandDecoder(MemoryBudget budget, Names classes, Names tenants, Gate gate) {
@@ -72,18 +72,19 @@
         readValue(in, out);
         return;
       }
-      asked = false;
-      ClientCommand refused = gate.shuts() ? refuse(ctx.alloc(), in) : null;
-      if (refused != null) {
-        out.add(refused);
-        return;
-      }
-      if (write != null) {
-        return;
+      if (!asked && gate.shuts()) {
+        ClientCommand refused = refuse(ctx.alloc(), in);
+        if (refused != null) {
+          out.add(refused);
+        }
+        if (refused != null || write != null) {
+          return;
+        }
       }
       MetaLine line = MetaLine.read(in);
       if (line != null) {
         ClientCommand command = parse(ctx.alloc(), line);
+        asked = false;
         if (write == null) {
           out.add(command);
         }
@@ -99,32 +100,39 @@
   }
 
   /**
-   * Takes the next line off the buffer if it is a request that the gate refuses: the answer to a
-   * read, null for a write, whose value is read and dropped before it is answered. Null also where
-   * nothing is refused.
+   * Takes lines off the buffer for as long as they are requests that the gate refuses: the answers
+   * to reads, all of them in one buffer, null if there are none. A refused write ends them: its
+   * value is read and dropped before it is answered.
    */
   private ClientCommand refuse(ByteBufAllocator allocator, ByteBuf in) {
-    int start = in.readerIndex();
-    int newline = in.bytesBefore(Math.min(in.readableBytes(), MetaLine.MAX_LENGTH), (byte) '\n');
-    if (newline < 1
-        || in.getByte(start + newline - 1) != '\r'
-        || !glance.read(in, start, start + newline - 1)) {
-      return null;
-    }
-    asked = true;
-    long advice = gate.ask(glance.serviceClass, glance.tenant, glance.subject, glance.repeat);
-    if (advice == Gate.ADMITTED) {
-      return null;
-    }
-    in.skipBytes(newline + 1);
-    ClientCommand refusal = ClientCommand.refused(MetaReplies.busy(allocator, advice));
-    if (glance.length < 0) {
-      return refusal;
+    ByteBuf answers = null;
+    int refused = 0;
+    while (write == null) {
+      int start = in.readerIndex();
+      int newline = in.bytesBefore(Math.min(in.readableBytes(), MetaLine.MAX_LENGTH), (byte) '\n');
+      if (newline < 1
+          || in.getByte(start + newline - 1) != '\r'
+          || !glance.read(in, start, start + newline - 1)) {
+        break;
+      }
+      long advice = gate.ask(glance.serviceClass, glance.tenant, glance.subject, glance.repeat);
+      if (advice == Gate.ADMITTED) {
+        asked = true;
+        break;
+      }
+      in.skipBytes(newline + 1);
+      if (glance.length < 0) {
+        answers = answers == null ? allocator.buffer(MetaReplies.BUSY_LENGTH) : answers;
+        MetaReplies.busy(answers, advice);
+        refused++;
+      } else {
+        ByteBuf answer = allocator.buffer(MetaReplies.BUSY_LENGTH);
+        write = ClientCommand.refused(MetaReplies.busy(answer, advice), 1);
+        value = null;
+        missing = glance.length + 2;
+      }
     }
-    write = refusal;
-    value = null;
-    missing = glance.length + 2;
-    return null;
+    return answers == null ? null : ClientCommand.refused(answers, refused);
   }
 
   private void readValue(ByteBuf in, List<Object> out) throws MetaLine.MalformedException {
@@ -183,7 +191,7 @@
         // Guards against more writes at once than there is memory for: this one is read and
         // dropped, and refused, which is true since it has never gone out.
         command.release();
-        command = ClientCommand.refused(MetaReplies.busy(allocator, 0));
+        command = ClientCommand.refused(MetaReplies.line(allocator, "SERVER_ERROR busy"), 1);
       }
       write = command;
       missing = length + 2;
@@ -192,11 +200,11 @@
   }
 
   private static ClientCommand answer(ByteBufAllocator allocator, String text) {
-    return new ClientCommand(MetaReplies.line(allocator, text), false, false, false, null, null);
+    return new ClientCommand(MetaReplies.line(allocator, text), false, false, 0, null, null);
   }
 
   private static ClientCommand error(ByteBufAllocator allocator, String text, boolean lost) {
-    return new ClientCommand(MetaReplies.line(allocator, text), true, lost, false, null, null);
+    return new ClientCommand(MetaReplies.line(allocator, text), true, lost, 0, null, null);
   }
 
   private static boolean visible(MetaLine line) {
--- a/engine/src/main/java/shalepaddle/codec/meta/MetaReplies.java
+++ b/engine/src/main/java/shalepaddle/codec/meta/MetaReplies.java
@@ -17,6 +17,9 @@
   private static final ByteBuf CRLF =
       Unpooled.unreleasableBuffer(Unpooled.wrappedBuffer(new byte[] {'\r', '\n'}).asReadOnly());
 
+  /** Bytes of a refusal with advice of up to ten seconds. */
+  static final int BUSY_LENGTH = 24;
+
   private MetaReplies() {}
 
   /** The answer's bytes; a value that it holds is used up. */
@@ -28,14 +31,19 @@
       return line(allocator, "HD O" + id + " c" + written.receipt());
     }
     if (reply instanceof Reply.Refused refused) {
-      return busy(allocator, refused.retryAfterMillis());
+      return busy(allocator.buffer(BUSY_LENGTH), refused.retryAfterMillis());
     }
     return line(allocator, "SERVER_ERROR failed");
   }
 
-  /** A refusal, with advice to come again after so many milliseconds, none for 0. */
-  static ByteBuf busy(ByteBufAllocator allocator, long millis) {
-    return line(allocator, millis > 0 ? "SERVER_ERROR busy " + millis : "SERVER_ERROR busy");
+  /** Adds a refusal to the bytes, with advice to come again after so many milliseconds, or none. */
+  static ByteBuf busy(ByteBuf bytes, long millis) {
+    ByteBufUtil.writeAscii(bytes, "SERVER_ERROR busy");
+    if (millis > 0) {
+      bytes.writeByte(' ');
+      ByteBufUtil.writeAscii(bytes, Long.toString(millis));
+    }
+    return bytes.writeShort(0x0D0A);
   }
 
   public static ByteBuf line(ByteBufAllocator allocator, String text) {
--- a/engine/src/main/java/shalepaddle/front/ClientCommand.java
+++ b/engine/src/main/java/shalepaddle/front/ClientCommand.java
@@ -11,26 +11,22 @@
  * @param error whether that answer says that the client broke the protocol
  * @param lost whether the client's bytes can no longer be told apart, so that its connection must
  *     close
- * @param refused whether it was a request, of which no more was read than it takes to refuse it
+ * @param refused how many requests these are the answers to, of which no more was read than it
+ *     takes to refuse them; 0 where it is no such answer
  * @param request what it asks for, null where it is answered at once
  * @param payload what is passed on, null where it is answered at once
  */
 public record ClientCommand(
-    ByteBuf answer,
-    boolean error,
-    boolean lost,
-    boolean refused,
-    Request request,
-    Payload payload) {
+    ByteBuf answer, boolean error, boolean lost, int refused, Request request, Payload payload) {
 
   /** A request for the engine. */
   public static ClientCommand of(Request request, Payload payload) {
-    return new ClientCommand(null, false, false, false, request, payload);
+    return new ClientCommand(null, false, false, 0, request, payload);
   }
 
-  /** A request that is refused in these words. */
-  public static ClientCommand refused(ByteBuf answer) {
-    return new ClientCommand(answer, false, false, true, null, null);
+  /** Requests in a row, so many of them, that are refused in these words. */
+  public static ClientCommand refused(ByteBuf answers, int count) {
+    return new ClientCommand(answers, false, false, count, null, null);
   }
 
   /** Lets go what it holds. */
--- a/engine/src/main/java/shalepaddle/front/ClientHandler.java
+++ b/engine/src/main/java/shalepaddle/front/ClientHandler.java
@@ -193,8 +193,8 @@
       return;
     }
     reading = true;
-    boolean asks = command.refused() || command.answer() == null;
-    used |= asks;
+    int asks = command.answer() == null ? 1 : command.refused();
+    used |= asks > 0;
     Slot slot = new Slot();
     slots.add(slot);
     stand();
@@ -215,7 +215,7 @@
       slot.last = command.lost() || errors >= MAX_ERRORS;
       slot.whole(answer);
     }
-    long pause = asks ? turns.pause(sent, clock.now()) : 0;
+    long pause = asks > 0 ? turns.pause(sent, asks, clock.now()) : 0;
     if (pause > 0) {
       pause(pause);
     }
--- a/engine/src/main/java/shalepaddle/front/Turns.java
+++ b/engine/src/main/java/shalepaddle/front/Turns.java
@@ -36,22 +36,22 @@
   }
 
   /**
-   * A connection has sent one more request; returns for how many nanoseconds to read no more from
-   * it, 0 to go on.
+   * A connection has sent so many more requests; returns for how many nanoseconds to read no more
+   * from it, 0 to go on.
    */
-  long pause(Count count, long now) {
+  long pause(Count count, int more, long now) {
     long current = now / INTERVAL_NANOS;
     if (current != interval) {
       allBefore = current == interval + 1 ? all : 0;
       all = 0;
       interval = current;
     }
-    all++;
+    all += more;
     if (count.interval != current) {
       count.interval = current;
       count.requests = 0;
     }
-    count.requests++;
+    count.requests += more;
     double heavy = posture.get().heavy();
     boolean most =
         heavy < 1 && count.requests > FEW && count.requests > heavy * Math.max(all, allBefore);
--- a/engine/src/test/java/shalepaddle/node/SheddingNodeTest.java
+++ b/engine/src/test/java/shalepaddle/node/SheddingNodeTest.java
@@ -1,7 +1,6 @@
 package shalepaddle.node;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -65,7 +64,7 @@
     EmbeddedChannel channel = channel();
     channel.writeInbound(bytes(NodeRig.get("a1", 500) + NodeRig.put("w1", 500, "value")));
     ClientCommand read = channel.readInbound();
-    assertTrue(read.refused());
+    assertEquals(1, read.refused());
     assertEquals("SERVER_ERROR busy 40\r\n", answer(read));
     ClientCommand write = channel.readInbound();
     assertEquals("w1", write.request().id());
@@ -83,7 +82,7 @@
       assertNull(channel.<ClientCommand>readInbound());
       channel.writeInbound(bytes(write.substring(cut) + NodeRig.get("a" + cut, 500)));
       ClientCommand refused = channel.readInbound();
-      assertTrue(refused.refused());
+      assertEquals(1, refused.refused());
       assertEquals("SERVER_ERROR busy 40\r\n", answer(refused));
       assertTrue(budget.reserve(1000), "nothing of the value is held");
       budget.release(1000);
@@ -93,6 +92,27 @@
     channel.finishAndReleaseAll();
   }
 
+  @Test
+  void refusalsInARowAreOneAnswerInTheirOrder() throws Exception {
+    EmbeddedChannel channel = channel();
+    StringBuilder asked = new StringBuilder();
+    for (int i = 0; i < 5; i++) {
+      asked.append(NodeRig.get("a" + i, 500));
+    }
+    asked.append(NodeRig.put("w1", 500, "v")).append(NodeRig.get("b1", 500)).append("mg ke");
+    channel.writeInbound(bytes(asked.toString()));
+    ClientCommand five = channel.readInbound();
+    assertEquals(5, five.refused());
+    assertEquals("SERVER_ERROR busy 40\r\n".repeat(5), answer(five));
+    ClientCommand write = channel.readInbound();
+    assertEquals("w1", write.request().id(), "what is admitted keeps its place");
+    write.release();
+    assertEquals("SERVER_ERROR busy 40\r\n", answer(channel.readInbound()));
+    assertNull(channel.<ClientCommand>readInbound(), "the rest has not come");
+    assertEquals(7, gate.asked.size());
+    channel.finishAndReleaseAll();
+  }
+
   @Test
   void whatCanNotBeReadIsStillAnErrorAndNoRefusal() throws Exception {
     EmbeddedChannel channel = channel();
@@ -122,7 +142,7 @@
     EmbeddedChannel channel = channel();
     channel.writeInbound(bytes(NodeRig.get("a1", 500) + NodeRig.put("w1", 500, "value")));
     ClientCommand read = channel.readInbound();
-    assertFalse(read.refused());
+    assertEquals(0, read.refused());
     read.release();
     ((ClientCommand) channel.readInbound()).release();
     assertEquals(List.of("0", "1"), gate.asked);
