--- /dev/null
+++ b/engine/src/test/java/shalepaddle/node/ProcessorUseTest.java
@@ -0,0 +1,29 @@
+package shalepaddle.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+class ProcessorUseTest {
+  @Test
+  void isAPartOfTheCoresAndReadSeldom() {
+    ProcessorUse half = new ProcessorUse(0.5);
+    ProcessorUse eight = new ProcessorUse(8);
+    long now = System.nanoTime();
+    assertTrue(Double.isNaN(half.share(now)), "not known at first");
+    assertTrue(Double.isNaN(eight.share(now)));
+    double sum = 0;
+    while (System.nanoTime() - now < TimeUnit.MILLISECONDS.toNanos(120)) {
+      sum += Math.sqrt(sum + 1);
+    }
+    assertTrue(Double.isNaN(half.share(now + 1)), "no sooner than in half a second");
+    // Told that a second has passed: the work done is the same for both, and more than nothing.
+    long later = now + TimeUnit.SECONDS.toNanos(1);
+    double share = half.share(later);
+    assertTrue(share > 0.05, "share of half a core: " + share + ", " + sum);
+    assertTrue(eight.share(later) < share, "share of eight cores");
+    assertEquals(share, half.share(later + 1), "as it was read last");
+  }
+}
