--- a/engine/src/main/java/shalepaddle/config/OperatorFile.java
+++ b/engine/src/main/java/shalepaddle/config/OperatorFile.java
@@ -33,9 +33,13 @@
   /**
    * Reads and checks the file.
    *
+   * @param file null for none, which is the usual
    * @throws FormatException names the file, the line and what would be right
    */
   public static OperatorFile load(String file) throws FormatException {
+    if (file == null) {
+      return USUAL;
+    }
     String text;
     try {
       text = Files.readString(Path.of(file));
--- a/engine/src/main/java/shalepaddle/front/Gate.java
+++ b/engine/src/main/java/shalepaddle/front/Gate.java
@@ -1,5 +1,7 @@
 package shalepaddle.front;
 
+import shalepaddle.overload.OverloadControl;
+
 /**
  * Asked about each request before more of it is read than names its class, tenant, key and repeat,
  * and before anything is allocated that a refused one does not need.
@@ -8,7 +10,7 @@
  */
 public interface Gate {
   /** The answer for a request that is admitted. */
-  long ADMITTED = -1;
+  long ADMITTED = OverloadControl.ADMITTED;
 
   /** Admits all and counts nothing. */
   Gate OPEN =
--- a/engine/src/main/java/shalepaddle/node/Node.java
+++ b/engine/src/main/java/shalepaddle/node/Node.java
@@ -78,9 +78,7 @@
 
     @Override
     public void turned(long begunAt, long now) {
-      if (listening) {
-        balancer.turned(begunAt, now);
-      }
+      balancer.turned(begunAt, now);
     }
 
     @Override
@@ -99,7 +97,7 @@
     OperatorFile operator;
     try {
       config = NodeConfig.load(configFile);
-      operator = operatorFile == null ? OperatorFile.USUAL : OperatorFile.load(operatorFile);
+      operator = OperatorFile.load(operatorFile);
     } catch (FormatException e) {
       System.err.println("serve: " + e.getMessage());
       return 2;
@@ -146,10 +144,7 @@
    * the exit code.
    */
   public static int rehearse(String operatorFile) throws InterruptedException {
-    try (Node node =
-        new Node(
-            NodeConfig.rehearsal(),
-            operatorFile == null ? OperatorFile.USUAL : OperatorFile.load(operatorFile))) {
+    try (Node node = new Node(NodeConfig.rehearsal(), OperatorFile.load(operatorFile))) {
       node.start();
       return 0;
     } catch (IOException | FormatException e) {
--- a/engine/src/test/java/shalepaddle/node/OperatorFileTest.java
+++ b/engine/src/test/java/shalepaddle/node/OperatorFileTest.java
@@ -26,6 +26,7 @@
   void theFileThatIsDeployedSaysWhatHoldsWithoutIt() throws Exception {
     assertEquals(OperatorFile.USUAL, OperatorFile.load("deploy/operator.toml"));
     assertEquals(OperatorFile.USUAL, load(""));
+    assertEquals(OperatorFile.USUAL, OperatorFile.load(null));
   }
 
   @Test
