Let a client's error begin its own pause within a heavy sender's

One flag served both the penalty for an error (250 ms) and the turns of heavy senders (100 ms at most): an error within such a turn began nothing, and its client was read from again when the turn ended. Of several reasons to read nothing the one that lasts longest holds now; RestTest shows it, and an error's penalty is as before where nothing else paused.

--- a/engine/src/main/java/shalepaddle/front/ClientHandler.java
+++ b/engine/src/main/java/shalepaddle/front/ClientHandler.java
@@ -49,8 +49,8 @@
   private final Turns.Count sent = new Turns.Count();
   private int errors;
 
-  /** Whether nothing is read for a while, for errors or for having sent the most. */
-  private boolean penalized;
+  /** For errors, or for having sent the most. */
+  private final Rest rest = new Rest();
 
   /**
    * Whether bytes are being read, of which not all have been looked at: answers go out together.
@@ -150,7 +150,7 @@
     channel
         .config()
         .setAutoRead(
-            channel.isWritable() && slots.size() < turns.owed() && !penalized && !decoder.lost());
+            channel.isWritable() && slots.size() < turns.owed() && !rest.on() && !decoder.lost());
   }
 
   private void penalize() {
@@ -158,20 +158,24 @@
     pause(TimeUnit.MILLISECONDS.toNanos(PENALTY_MILLIS));
   }
 
-  /** Reads nothing for so long. */
+  /** Reads nothing for so long at least. */
   private void pause(long nanos) {
-    if (!penalized) {
-      penalized = true;
+    if (rest.atLeast(clock.now(), nanos)) {
+      steer();
+      resumeIn(nanos);
+    }
+  }
+
+  private void resumeIn(long nanos) {
+    channel.eventLoop().schedule(this::resume, nanos, TimeUnit.NANOSECONDS);
+  }
+
+  private void resume() {
+    long left = rest.left(clock.now());
+    if (left > 0) {
+      resumeIn(left);
+    } else {
       steer();
-      channel
-          .eventLoop()
-          .schedule(
-              () -> {
-                penalized = false;
-                steer();
-              },
-              nanos,
-              TimeUnit.NANOSECONDS);
     }
   }
 
