--- /dev/null
+++ b/core/src/main/java/shalepaddle/joining/Flight.java
@@ -0,0 +1,160 @@
+package shalepaddle.joining;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.PriorityQueue;
+
+/**
+ * One try at a read, and all who wait for its answer, in the order of their arrival.
+ *
+ * <p>Most flights have one caller for all their life; what only several need is made when the
+ * second joins.
+ *
+ * @param <C> what stands for a caller outside of these decisions
+ */
+public final class Flight<C> {
+  /** What it is about, and the next one about the same key that may be joined. */
+  final String key;
+
+  final Likeness likeness;
+  final long begun;
+  Flight<C> next;
+
+  /** Whether it may be found by newcomers. */
+  boolean listed;
+
+  /** When the last of its callers' time is up. */
+  long deadline;
+
+  /** Callers that came, and those that still wait. */
+  private int came;
+
+  int waiting;
+
+  boolean over;
+
+  /** Tries after the first. */
+  int retries;
+
+  /** All that came, some of them over; the first of those that wait carries the try. */
+  private final ArrayDeque<Caller<C>> callers = new ArrayDeque<>(2);
+
+  /** The same by their deadlines, null while there was but one. */
+  private PriorityQueue<Caller<C>> byDeadline;
+
+  Flight(String key, Likeness likeness, long begun) {
+    this.key = key;
+    this.likeness = likeness;
+    this.begun = begun;
+  }
+
+  private static int sooner(Caller<?> a, Caller<?> b) {
+    return a.deadline != b.deadline ? Long.signum(a.deadline - b.deadline) : a.place - b.place;
+  }
+
+  /** One more waits, behind all others. */
+  Caller<C> add(C who, long until) {
+    Caller<C> caller = new Caller<>(this, who, until, came++);
+    if (callers.isEmpty()) {
+      deadline = caller.deadline;
+    } else {
+      if (byDeadline == null) {
+        byDeadline = new PriorityQueue<>(Flight::sooner);
+        byDeadline.addAll(callers);
+      }
+      byDeadline.add(caller);
+      deadline = Math.max(deadline, caller.deadline);
+    }
+    callers.add(caller);
+    waiting++;
+    return caller;
+  }
+
+  /** The caller is answered, or has gone. */
+  void drop(Caller<C> caller) {
+    caller.over = true;
+    waiting--;
+  }
+
+  /** Callers that came, whether or not they still wait. */
+  int came() {
+    return came;
+  }
+
+  /** The one in whose name it is tried now: of those that wait the first. Null if nobody does. */
+  public Caller<C> bearer() {
+    while (!callers.isEmpty() && callers.peek().over) {
+      callers.poll();
+    }
+    return callers.peek();
+  }
+
+  /** Whether nobody waits any more: it is answered, or all have left. */
+  public boolean isOver() {
+    return over;
+  }
+
+  /** Callers that still wait. */
+  public int waiting() {
+    return waiting;
+  }
+
+  /** When the last of its callers' time is up, in nanoseconds. */
+  public long deadline() {
+    return deadline;
+  }
+
+  /**
+   * When the next caller's time is up that comes before the flight's own end; {@code
+   * Long.MAX_VALUE} if there is none.
+   */
+  public long nextDue() {
+    if (byDeadline == null) {
+      return Long.MAX_VALUE;
+    }
+    while (!byDeadline.isEmpty() && byDeadline.peek().over) {
+      byDeadline.poll();
+    }
+    Caller<C> first = byDeadline.peek();
+    return first == null || first.deadline == deadline ? Long.MAX_VALUE : first.deadline;
+  }
+
+  /** Those whose time is up, in the order of their deadlines; none of them waits any more. */
+  List<Caller<C>> due(long now) {
+    List<Caller<C>> due = new ArrayList<>();
+    while (byDeadline != null && !byDeadline.isEmpty() && byDeadline.peek().deadline - now <= 0) {
+      Caller<C> caller = byDeadline.poll();
+      if (!caller.over) {
+        drop(caller);
+        due.add(caller);
+      }
+    }
+    return due;
+  }
+
+  /** All who wait, in the order of their arrival; none of them does any more. */
+  List<Caller<C>> dismiss() {
+    List<Caller<C>> all = new ArrayList<>(waiting);
+    for (Caller<C> caller : callers) {
+      if (!caller.over) {
+        drop(caller);
+        all.add(caller);
+      }
+    }
+    callers.clear();
+    byDeadline = null;
+    return all;
+  }
+
+  /** After a failed try: when the last of those who still wait has no time any more. */
+  void shorten() {
+    long latest = Long.MIN_VALUE;
+    for (Caller<C> caller : callers) {
+      if (!caller.over) {
+        latest = Math.max(latest, caller.deadline);
+      }
+    }
+    deadline = latest;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/shalepaddle/joining/JoiningTuning.java
@@ -0,0 +1,47 @@
+package shalepaddle.joining;
+
+/**
+ * The figures of joining that an operator may set.
+ *
+ * @param joins whether like reads share one answer at all
+ * @param acrossTenants whether tenants see the same values, so that their reads are alike
+ * @param callers reads that may wait for one flight, 2 to 100,000
+ * @param age seconds after its beginning up to which a flight is joined, 0.001 to 60
+ * @param flights flights that may be open at once, 1 to 1,000,000; reads past that go alone
+ * @param retries new tries that a flight may make after broken ones for each read that joined one,
+ *     0 to 1
+ */
+public record JoiningTuning(
+    boolean joins, boolean acrossTenants, int callers, double age, int flights, double retries) {
+  /**
+   * Off: where an answer counts only if a server made it for that very request, nothing may be
+   * shared.
+   */
+  public static final JoiningTuning OFF = new JoiningTuning(false, false, 1000, 0.25, 10_000, 0.1);
+
+  /**
+   * On, with the usual figures: a quarter of a second covers most fetches from an origin, and who
+   * joins later would rather have a fresh try at another server; a tenth of those who joined in new
+   * tries mends single failures and feeds no storm.
+   */
+  public static final JoiningTuning USUAL = new JoiningTuning(true, false, 1000, 0.25, 10_000, 0.1);
+
+  /**
+   * Checks the figures.
+   *
+   * @throws IllegalArgumentException if one is out of its range; the message names it and the range
+   */
+  public JoiningTuning {
+    within("callers", callers, 2, 100_000);
+    within("age_ms", age * 1e3, 1, 60_000);
+    within("flights", flights, 1, 1_000_000);
+    within("retries", retries, 0, 1);
+  }
+
+  private static void within(String name, double value, double least, double most) {
+    if (!(value >= least && value <= most)) {
+      throw new IllegalArgumentException(
+          "%s is %s, and must be from %s to %s".formatted(name, value, least, most));
+    }
+  }
+}
--- a/core/src/main/java/shalepaddle/model/Outcome.java
+++ b/core/src/main/java/shalepaddle/model/Outcome.java
@@ -105,6 +105,11 @@
     NONE,
     HIT,
     MISS,
-    MISS_PENDING
+    MISS_PENDING;
+
+    /** Whether the server did not hold what it was asked for. */
+    public boolean missed() {
+      return this == MISS || this == MISS_PENDING;
+    }
   }
 }
--- a/core/src/main/java/shalepaddle/model/Request.java
+++ b/core/src/main/java/shalepaddle/model/Request.java
@@ -26,7 +26,11 @@
 
   /** The same request, with no more than so many seconds for it. */
   public Request within(double seconds) {
-    return new Request(
-        id, key, serviceClass, tenant, Math.min(budget, seconds), work, size, repeat, write);
+    return lasting(Math.min(budget, seconds));
+  }
+
+  /** The same request, with so many seconds for it. */
+  public Request lasting(double seconds) {
+    return new Request(id, key, serviceClass, tenant, seconds, work, size, repeat, write);
   }
 }
--- a/core/src/main/java/shalepaddle/model/Settings.java
+++ b/core/src/main/java/shalepaddle/model/Settings.java
@@ -64,7 +64,16 @@
   public enum Group {
     ALL,
     ZONE,
-    CELL
+    CELL;
+
+    /** Whether two servers belong to the same one. */
+    public boolean holds(ServerEntry a, ServerEntry b) {
+      return switch (this) {
+        case ALL -> true;
+        case ZONE -> a.zone().equals(b.zone());
+        case CELL -> a.cell() == b.cell() && a.zone().equals(b.zone());
+      };
+    }
   }
 
   /**
--- a/core/src/main/java/shalepaddle/policy/Actions.java
+++ b/core/src/main/java/shalepaddle/policy/Actions.java
@@ -22,7 +22,4 @@
 
   /** Closes the idle connections to a server. */
   void closeIdle(long server);
-
-  /** Writes a line to the log. */
-  void log(String text);
 }
--- a/core/src/main/java/shalepaddle/policy/Balancer.java
+++ b/core/src/main/java/shalepaddle/policy/Balancer.java
@@ -356,6 +356,14 @@
     }
   }
 
+  /** Somebody has joined the request who waits for it until then. */
+  public void extend(String requestId, double deadline) {
+    PendingRequest p = pending.get(requestId);
+    if (p != null) {
+      p.deadline = Math.max(p.deadline, deadline);
+    }
+  }
+
   /** A streamed answer has begun: it belongs to the client and has no deadline any more. */
   public void streamStarted(double now, String requestId, int attempt) {
     PendingRequest p = pending.get(requestId);
@@ -378,9 +386,7 @@
     if (outcome.result() == Result.OK) {
       retryTokens = Math.min(RETRY_BURST, retryTokens + RETRY_SHARE);
       answers++;
-      if (server.warmth(now) >= 1) {
-        warmAnswers++;
-      }
+      warmAnswers += server.warmth(now) >= 1 ? 1 : 0;
     }
     // First: a retry would take the place of the fetch that has ended, and keep its key shut.
     learn(now, p, server, outcome);
@@ -411,10 +417,7 @@
    * moves no keys to caches lacking them.
    */
   private void judge(double now, PendingRequest p, ServerHealth server, Outcome outcome) {
-    boolean fetch =
-        outcome.attempt() == p.fetchAttempt
-            || outcome.note() == Outcome.Note.MISS
-            || outcome.note() == Outcome.Note.MISS_PENDING;
+    boolean fetch = outcome.attempt() == p.fetchAttempt || outcome.note().missed();
     // A hung server has no hits to tell of it: while fetches fare well elsewhere it is blamed.
     boolean hung =
         outcome.result() == Result.TIMEOUT && (!guard.troubled() || singledOut(now, server));
@@ -532,8 +535,10 @@
       if (p.waiting) {
         resume(now, p);
       }
-      return;
+    } else if (now < p.deadline - settings.tick()) {
+      actions.wake(p.serial, p.deadline - now);
+    } else {
+      answer(p);
     }
-    answer(p);
   }
 }
--- a/core/src/main/java/shalepaddle/policy/PendingRequest.java
+++ b/core/src/main/java/shalepaddle/policy/PendingRequest.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import shalepaddle.model.Request;
-import shalepaddle.model.ServerEntry;
 import shalepaddle.model.Settings;
 
 /** A request and its attempts: what rules 1 and 2 (one answer, no effect twice) are kept by. */
@@ -32,7 +31,9 @@
   final long keyHash;
   final long serial;
   final double arrived;
-  final double deadline;
+
+  /** When its client stops waiting; later once somebody who waits longer has joined it. */
+  double deadline;
 
   /** How many owners of the key's sequence share it, and with which of them to begin. */
   int homes = 1;
@@ -113,7 +114,7 @@
       case UNSAFE -> first == null;
       case KEYED ->
           first == null
-              || (sameGroup(first.server.entry, server.entry)
+              || (type.group().holds(first.server.entry, server.entry)
                   && now + limits.connectTimeout() < first.sentAt + type.repeatWindow());
     };
   }
@@ -128,12 +129,4 @@
   private Attempt firstThatMayHaveRun() {
     return tries.stream().filter(a -> a.fate != Fate.NOT_RUN).findFirst().orElse(null);
   }
-
-  private boolean sameGroup(ServerEntry a, ServerEntry b) {
-    return switch (type.group()) {
-      case ALL -> true;
-      case ZONE -> a.zone().equals(b.zone());
-      case CELL -> a.cell() == b.cell() && a.zone().equals(b.zone());
-    };
-  }
 }
--- /dev/null
+++ b/core/src/test/java/shalepaddle/joining/JoiningTest.java
@@ -0,0 +1,250 @@
+package shalepaddle.joining;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotSame;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertSame;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import shalepaddle.model.Outcome;
+
+class JoiningTest {
+  private static final long MILLI = 1_000_000;
+
+  private final Joining<Integer> joining = new Joining<>(tuning(100, 10));
+  private int next;
+
+  private static JoiningTuning tuning(int callers, int flights) {
+    return new JoiningTuning(true, false, callers, 0.25, flights, 0.1);
+  }
+
+  private Caller<Integer> read(String key, long deadlineMillis, long nowMillis) {
+    return joining.arrive(key, "read", "a", next++, deadlineMillis * MILLI, nowMillis * MILLI);
+  }
+
+  private static List<Integer> who(List<Caller<Integer>> callers) {
+    return callers.stream().map(Caller::who).toList();
+  }
+
+  @Test
+  void likeReadsShareAFlightAndOthersDoNot() {
+    Flight<Integer> flight = read("k", 1000, 0).flight();
+    assertSame(flight, read("k", 1000, 1).flight());
+    assertNotSame(flight, read("other", 1000, 1).flight());
+    assertNotSame(flight, joining.arrive("k", "scan", "a", 9, 1000 * MILLI, MILLI).flight());
+    assertNotSame(flight, joining.arrive("k", "read", "b", 9, 1000 * MILLI, MILLI).flight());
+    assertNotSame(flight, joining.arrive("k", "read", null, 9, 1000 * MILLI, MILLI).flight());
+    assertSame(flight, read("k", 1000, 2).flight());
+  }
+
+  @Test
+  void tenantsShareWhereTheyMay() {
+    Joining<Integer> all = new Joining<>(new JoiningTuning(true, true, 100, 0.25, 10, 0.1));
+    assertSame(
+        all.arrive("k", "read", "a", 0, MILLI, 0).flight(),
+        all.arrive("k", "read", "b", 1, MILLI, 0).flight());
+  }
+
+  @Test
+  void anAnswerGoesToAllInTheOrderOfTheirArrival() {
+    Flight<Integer> flight = read("k", 900, 0).flight();
+    for (int i = 1; i < 50; i++) {
+      read("k", 900 - i, 1);
+    }
+    Verdict<Integer> verdict = joining.ended(flight, Ending.SERVED, 5 * MILLI);
+    List<Integer> order = new ArrayList<>();
+    for (int i = 0; i < 50; i++) {
+      order.add(i);
+    }
+    assertEquals(order, who(verdict.answered()));
+    assertFalse(verdict.again());
+    assertTrue(flight.isOver());
+    assertEquals(new JoiningReading(1, 49, 0, 49, 0, 0, 0, 0, 0), joining.reading());
+    assertEquals(0, joining.keys());
+    assertEquals(List.of(), joining.ended(flight, Ending.SERVED, 6 * MILLI).answered());
+  }
+
+  @Test
+  void flightsAreNotJoinedPastTheirAgeOrTheirCallers() {
+    Flight<Integer> old = read("k", 9000, 0).flight();
+    assertSame(old, read("k", 9000, 250).flight());
+    Flight<Integer> fresh = read("k", 9000, 251).flight();
+    assertNotSame(old, fresh);
+    for (int i = 1; i < 100; i++) {
+      assertSame(fresh, read("k", 9000, 252).flight());
+    }
+    assertNotSame(fresh, read("k", 9000, 252).flight());
+    // Who waits for the old one still does.
+    assertEquals(List.of(0, 1), who(joining.ended(old, Ending.REFUSED, 300 * MILLI).answered()));
+  }
+
+  @Test
+  void pastTheirNumberReadsGoAlone() {
+    for (int i = 0; i < 10; i++) {
+      read("k" + i, 1000, 0);
+    }
+    assertNull(read("k10", 1000, 0));
+    assertEquals(1, joining.reading().alone());
+    assertTrue(read("k3", 1000, 0) != null, "one that is open can be joined");
+  }
+
+  @Test
+  void aWriteBetweenTwoReadsKeepsTheSecondFromTheFirst() {
+    Flight<Integer> before = read("k", 1000, 0).flight();
+    joining.touched("k");
+    Flight<Integer> during = read("k", 1000, 1).flight();
+    assertNotSame(before, during);
+    assertSame(during, read("k", 1000, 2).flight());
+    joining.touched("k"); // The write has ended.
+    assertNotSame(during, read("k", 1000, 3).flight());
+  }
+
+  @Test
+  void aReadThatEndsKeepsNewcomersFromOlderFlightsOfItsKey() {
+    Flight<Integer> older = read("k", 1000, 0).flight();
+    Flight<Integer> others = joining.arrive("k", "read", "b", 9, 1000 * MILLI, MILLI).flight();
+    joining.ended(others, Ending.SERVED, 2 * MILLI);
+    assertNotSame(older, read("k", 1000, 3).flight());
+  }
+
+  @Test
+  void whoLeavesLeavesAlone() {
+    Caller<Integer> first = read("k", 1000, 0);
+    Caller<Integer> second = read("k", 1000, 1);
+    assertFalse(joining.leave(first));
+    assertSame(second, first.flight().bearer());
+    assertFalse(joining.leave(first), "does nothing the second time");
+    assertTrue(joining.leave(second));
+    assertEquals(0, joining.reading().open());
+    assertNotSame(first.flight(), read("k", 1000, 2).flight());
+  }
+
+  @Test
+  void thePatientKeepAFlightThatAnImpatientOneBegan() {
+    Flight<Integer> flight = read("k", 100, 0).flight();
+    assertEquals(Long.MAX_VALUE, flight.nextDue(), "its time is the try's own");
+    read("k", 2000, 10);
+    read("k", 500, 20);
+    assertEquals(2000 * MILLI, flight.deadline());
+    assertEquals(100 * MILLI, flight.nextDue());
+    assertEquals(List.of(0), who(joining.due(flight, 100 * MILLI)));
+    assertEquals(500 * MILLI, flight.nextDue());
+    assertEquals(List.of(2), who(joining.due(flight, 500 * MILLI)));
+    assertEquals(Long.MAX_VALUE, flight.nextDue());
+    assertEquals(List.of(1), who(joining.ended(flight, Ending.SERVED, 700 * MILLI).answered()));
+  }
+
+  @Test
+  void afterALongPauseAllMayBeDueTogether() {
+    Flight<Integer> flight = read("k", 100, 0).flight();
+    read("k", 200, 0);
+    assertEquals(List.of(0, 1), who(joining.due(flight, 900 * MILLI)));
+    assertTrue(flight.isOver());
+    assertEquals(0, joining.reading().open());
+  }
+
+  @Test
+  void aBrokenTryIsTheBadLuckOfOne() {
+    Flight<Integer> flight = read("k", 1000, 0).flight();
+    read("k", 500, 1);
+    read("k", 800, 1);
+    Verdict<Integer> verdict = joining.ended(flight, Ending.BROKEN, 10 * MILLI);
+    assertEquals(List.of(0), who(verdict.answered()));
+    assertTrue(verdict.again());
+    assertEquals(1, flight.bearer().who());
+    assertEquals(800 * MILLI, flight.deadline(), "nobody waits longer any more");
+    assertEquals(500 * MILLI, flight.nextDue());
+    assertEquals(List.of(1, 2), who(joining.ended(flight, Ending.SERVED, 20 * MILLI).answered()));
+  }
+
+  @Test
+  void aFlightThatGoesOnBreakingEndsForAll() {
+    Flight<Integer> flight = read("k", 1000, 0).flight();
+    for (int i = 1; i < 100; i++) {
+      read("k", 1000, 1);
+    }
+    int tries = 1;
+    while (joining.ended(flight, Ending.BROKEN, 10 * MILLI).again()) {
+      tries++;
+    }
+    assertEquals(4, tries);
+    assertTrue(flight.isOver());
+    assertEquals(0, joining.reading().waiting());
+  }
+
+  @Test
+  void newTriesAreATenthOfThoseWhoJoinedInTheLongRun() {
+    int retried = 0;
+    for (int i = 0; i < 1000; i++) {
+      Flight<Integer> flight = read("k", 1000, 0).flight();
+      read("k", 1000, 0);
+      while (joining.ended(flight, Ending.BROKEN, MILLI).again()) {
+        retried++;
+      }
+    }
+    assertTrue(retried >= 100 && retried <= 110, retried + " for 1000 who joined");
+    assertEquals(1000 - retried, joining.reading().spent());
+  }
+
+  @Test
+  void nothingIsTriedAgainForWhomNoTimeIsLeft() {
+    Flight<Integer> flight = read("k", 1000, 0).flight();
+    read("k", 10, 0);
+    Verdict<Integer> verdict = joining.ended(flight, Ending.BROKEN, 20 * MILLI);
+    assertEquals(List.of(0, 1), who(verdict.answered()));
+    assertFalse(verdict.again());
+  }
+
+  @Test
+  void aRefusalIsEverybodys() {
+    Flight<Integer> flight = read("k", 1000, 0).flight();
+    read("k", 1000, 0);
+    assertEquals(List.of(0, 1), who(joining.ended(flight, Ending.REFUSED, MILLI).answered()));
+  }
+
+  @Test
+  void whatBrokeIsToldFromWhatWasTurnedAway() {
+    assertEquals(Ending.BROKEN, Ending.refused(Outcome.Result.RESET));
+    assertEquals(Ending.BROKEN, Ending.refused(Outcome.Result.CONNECT_FAILED));
+    assertEquals(Ending.BROKEN, Ending.refused(Outcome.Result.SPOILT));
+    assertEquals(Ending.REFUSED, Ending.refused(Outcome.Result.FULL));
+    assertEquals(Ending.REFUSED, Ending.refused(Outcome.Result.ERROR));
+    assertEquals(Ending.REFUSED, Ending.refused(Outcome.Result.TIMEOUT));
+    assertEquals(Ending.REFUSED, Ending.refused(null));
+  }
+
+  @Test
+  void adviceIsSpread() {
+    assertEquals(100, Joining.spread(100, 1000, 0, 1));
+    assertEquals(0, Joining.spread(0, 1000, 3, 5));
+    assertEquals(75, Joining.spread(100, 1000, 0, 5));
+    assertEquals(100, Joining.spread(100, 1000, 2, 5));
+    assertEquals(125, Joining.spread(100, 1000, 4, 5));
+    assertEquals(110, Joining.spread(100, 110, 4, 5));
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "1, 0.25, 10, 0.1, callers",
+    "100001, 0.25, 10, 0.1, callers",
+    "2, 0, 10, 0.1, age_ms",
+    "2, 0.25, 0, 0.1, flights",
+    "2, 0.25, 10, 1.5, retries",
+    "2, NaN, 10, 0.1, age_ms"
+  })
+  void figuresOutOfRangeAreNamed(
+      int callers, double age, int flights, double retries, String name) {
+    IllegalArgumentException e =
+        assertThrows(
+            IllegalArgumentException.class,
+            () -> new JoiningTuning(true, false, callers, age, flights, retries));
+    assertTrue(e.getMessage().startsWith(name + " is "), e.getMessage());
+  }
+}
--- /dev/null
+++ b/core/src/test/java/shalepaddle/policy/ExtendTest.java
@@ -0,0 +1,51 @@
+package shalepaddle.policy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import shalepaddle.model.Outcome;
+import shalepaddle.model.Settings;
+
+/** A request that gets more time, since somebody who waits longer has joined it. */
+class ExtendTest {
+  private static final Settings SETTINGS = Rig.settings(false, 2, true);
+
+  private final Rig.Recorder actions = new Rig.Recorder();
+  private final Balancer balancer = new Balancer(SETTINGS, 1, actions);
+  private final long token;
+
+  ExtendTest() {
+    balancer.membership(100, Rig.fleet(3));
+    balancer.request(100, Rig.request("a", "key", "safe", 0.3));
+    token = actions.of("wake").get(0).number();
+  }
+
+  @Test
+  void itIsAnsweredWhenTheLongerTimeIsUp() {
+    balancer.extend("a", 101.5);
+    balancer.timer(100.3, token);
+    assertEquals(List.of(), actions.of("fail"));
+    Rig.Act again = actions.of("wake").get(1);
+    assertEquals(token, again.number());
+    assertEquals(1.2, again.value(), 1e-9);
+    balancer.timer(101.5, token);
+    assertEquals(1, actions.of("fail").size());
+  }
+
+  @Test
+  void itIsTriedAgainWithinIt() {
+    balancer.extend("a", 101.5);
+    long server = actions.of("send").get(0).number();
+    balancer.outcome(100.4, Rig.outcome("a", 0, server, Outcome.Result.RESET));
+    assertEquals(2, actions.of("send").size());
+  }
+
+  @Test
+  void nobodyTakesTimeFromIt() {
+    balancer.extend("a", 100.1);
+    balancer.extend("unknown", 200);
+    balancer.timer(100.3, token);
+    assertEquals(1, actions.of("fail").size());
+  }
+}
--- a/core/src/test/java/shalepaddle/policy/Rig.java
+++ b/core/src/test/java/shalepaddle/policy/Rig.java
@@ -52,11 +52,6 @@
       acts.add(new Act("closeIdle", "", server, 0));
     }
 
-    @Override
-    public void log(String text) {
-      acts.add(new Act("log", text, 0, 0));
-    }
-
     List<Act> of(String what) {
       return acts.stream().filter(a -> a.what().equals(what)).toList();
     }
--- a/daemon/src/test/java/shalepaddle/daemon/ArchitectureTest.java
+++ b/daemon/src/test/java/shalepaddle/daemon/ArchitectureTest.java
@@ -23,13 +23,18 @@
   void decisionsKnowNoSocketsThreadsOrFiles() {
     classes()
         .that()
-        .resideInAnyPackage("shalepaddle.model..", "shalepaddle.policy..", "shalepaddle.overload..")
+        .resideInAnyPackage(
+            "shalepaddle.model..",
+            "shalepaddle.policy..",
+            "shalepaddle.overload..",
+            "shalepaddle.joining..")
         .should()
         .onlyDependOnClassesThat()
         .resideInAnyPackage(
             "shalepaddle.model..",
             "shalepaddle.policy..",
             "shalepaddle.overload..",
+            "shalepaddle.joining..",
             "java.lang",
             "java.lang.invoke",
             "java.lang.runtime",
@@ -46,7 +51,10 @@
       noClasses()
           .that()
           .resideInAnyPackage(
-              "shalepaddle.model..", "shalepaddle.policy..", "shalepaddle.overload..")
+              "shalepaddle.model..",
+              "shalepaddle.policy..",
+              "shalepaddle.overload..",
+              "shalepaddle.joining..")
           .should()
           .callMethod(System.class, clock)
           .check(ALL);
@@ -96,8 +104,8 @@
       Map.of(
           "loop", List.of(),
           "membership", List.of("loop", "model", "settings"),
-          "config", List.of("membership", "model", "overload", "settings"),
-          "engine", List.of("loop", "membership", "model", "overload", "policy"),
+          "config", List.of("joining", "membership", "model", "overload", "settings"),
+          "engine", List.of("joining", "loop", "membership", "model", "overload", "policy"),
           "upstream", List.of("engine", "loop", "membership", "model"),
           "front", List.of("engine", "loop", "model", "overload"),
           "codec", List.of("engine", "front", "upstream", "model"));
@@ -109,6 +117,7 @@
             "model",
             "policy",
             "overload",
+            "joining",
             "settings",
             "sim",
             "daemon",
@@ -149,7 +158,7 @@
     noClasses()
         .that()
         .haveNameMatching(
-            "shalepaddle\\.engine\\.(Call|Payload|Reply|ReplySink|ServerReply|Attempt|Exchange|Upstream)"
+            "shalepaddle\\.engine\\.(Call|Payload|Reply|ReplySink|ServerReply|Attempt|Exchange|Submission|Upstream)"
                 + "(\\$.*)?")
         .should()
         .dependOnClassesThat()
--- a/engine/src/main/java/shalepaddle/config/OperatorFile.java
+++ b/engine/src/main/java/shalepaddle/config/OperatorFile.java
@@ -11,6 +11,7 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.regex.Pattern;
+import shalepaddle.joining.JoiningTuning;
 import shalepaddle.overload.Tuning;
 import shalepaddle.settings.FormatException;
 
@@ -20,16 +21,20 @@
  * the pen.
  *
  * @param overload the figures of shedding
+ * @param joining whether and how like reads share an answer
  */
-public record OperatorFile(Tuning overload) {
+public record OperatorFile(Tuning overload, JoiningTuning joining) {
   /** Without a file. */
-  public static final OperatorFile USUAL = new OperatorFile(Tuning.USUAL);
+  public static final OperatorFile USUAL = new OperatorFile(Tuning.USUAL, JoiningTuning.OFF);
 
-  private static final List<String> TABLES = List.of("overload");
+  private static final List<String> TABLES = List.of("overload", "joining");
 
   private static final List<String> OVERLOAD =
       List.of("shed", "target_ms", "learn", "repeats", "waits_ms", "advice_ms");
 
+  private static final List<String> JOINING =
+      List.of("join", "across_tenants", "callers", "age_ms", "flights", "retries");
+
   /**
    * Reads and checks the file.
    *
@@ -62,27 +67,37 @@
     }
     Reader reader = new Reader(file, text);
     reader.onlyKnown(root, "", TABLES);
-    JsonNode overload = root.path("overload");
-    if (!overload.isMissingNode() && !overload.isObject()) {
-      throw reader.wrong(
-          "overload", "overload must be a table: write [overload] on a line of its own");
-    }
-    reader.onlyKnown(overload, "overload.", OVERLOAD);
-    Tuning usual = Tuning.USUAL;
+    JsonNode overload = reader.table(root, "overload", OVERLOAD);
+    JsonNode joining = reader.table(root, "joining", JOINING);
     try {
-      return new OperatorFile(
-          new Tuning(
-              reader.flag(overload, "shed", usual.sheds()),
-              reader.number(overload, "target_ms", usual.target() * 1e3) / 1e3,
-              reader.number(overload, "learn", usual.learn()),
-              reader.number(overload, "repeats", usual.repeats()),
-              reader.number(overload, "waits_ms", usual.waits() * 1e3) / 1e3,
-              reader.number(overload, "advice_ms", usual.advice() * 1e3) / 1e3));
+      return new OperatorFile(overload(reader, overload), joining(reader, joining));
     } catch (IllegalArgumentException e) {
       throw reader.wrong(e.getMessage().split(" ")[0], e.getMessage());
     }
   }
 
+  private static Tuning overload(Reader reader, JsonNode table) throws FormatException {
+    Tuning usual = Tuning.USUAL;
+    return new Tuning(
+        reader.flag(table, "shed", usual.sheds()),
+        reader.number(table, "target_ms", usual.target() * 1e3) / 1e3,
+        reader.number(table, "learn", usual.learn()),
+        reader.number(table, "repeats", usual.repeats()),
+        reader.number(table, "waits_ms", usual.waits() * 1e3) / 1e3,
+        reader.number(table, "advice_ms", usual.advice() * 1e3) / 1e3);
+  }
+
+  private static JoiningTuning joining(Reader reader, JsonNode table) throws FormatException {
+    JoiningTuning usual = JoiningTuning.OFF;
+    return new JoiningTuning(
+        reader.flag(table, "join", usual.joins()),
+        reader.flag(table, "across_tenants", usual.acrossTenants()),
+        reader.whole(table, "callers", usual.callers()),
+        reader.number(table, "age_ms", usual.age() * 1e3) / 1e3,
+        reader.whole(table, "flights", usual.flights()),
+        reader.number(table, "retries", usual.retries()));
+  }
+
   /** Reads values, and says in which line one is wrong. */
   private record Reader(String file, String text) {
     void onlyKnown(JsonNode table, String prefix, List<String> known) throws FormatException {
@@ -96,6 +111,25 @@
       }
     }
 
+    /** The table of this name, which may be absent, with no other keys than these. */
+    JsonNode table(JsonNode root, String name, List<String> known) throws FormatException {
+      JsonNode table = root.path(name);
+      if (!table.isMissingNode() && !table.isObject()) {
+        throw wrong(
+            name, "%s must be a table: write [%s] on a line of its own".formatted(name, name));
+      }
+      onlyKnown(table, name + ".", known);
+      return table;
+    }
+
+    int whole(JsonNode table, String key, int usual) throws FormatException {
+      double value = number(table, key, usual);
+      if (value != Math.rint(value) || Math.abs(value) > Integer.MAX_VALUE) {
+        throw wrong(key, key + " must be a whole number, such as " + usual);
+      }
+      return (int) value;
+    }
+
     double number(JsonNode table, String key, double usual) throws FormatException {
       JsonNode value = table.path(key);
       if (value.isMissingNode()) {
--- a/engine/src/main/java/shalepaddle/engine/Attempt.java
+++ b/engine/src/main/java/shalepaddle/engine/Attempt.java
@@ -24,10 +24,13 @@
   final long stoodBefore;
 
   /** When this node stops waiting for it. */
-  public final long deadlineNanos;
+  public long deadlineNanos;
 
   Timers.Timer timeout;
 
+  /** What is written to the server, in the words of somebody who waits for the answer. */
+  public Call call;
+
   /** What it was written to, null while it waits for a connection. */
   public Carrier carrier;
 
@@ -51,6 +54,7 @@
       long deadlineNanos,
       long stoodBefore) {
     this.request = request;
+    this.call = request.bearer;
     this.number = number;
     this.server = server;
     this.sentAt = sentAt;
@@ -63,9 +67,9 @@
     return over ? !provenNotRun : written;
   }
 
-  /** Whether it belongs to the request of this id. */
+  /** Whether it was sent under this id. */
   public boolean has(String id) {
-    return request.id().equals(id);
+    return call.request().id().equals(id);
   }
 
   /** Whether a reply can be the answer to it: of its request, a value for a read alone. */
--- a/engine/src/main/java/shalepaddle/engine/Dispatcher.java
+++ b/engine/src/main/java/shalepaddle/engine/Dispatcher.java
@@ -7,6 +7,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import shalepaddle.joining.JoiningReading;
+import shalepaddle.joining.JoiningTuning;
 import shalepaddle.loop.Clock;
 import shalepaddle.loop.Log;
 import shalepaddle.loop.LoopClock;
@@ -62,6 +64,10 @@
   private final Balancer balancer;
   private final OverloadControl overload;
   private final Intake<Waiting> intake;
+
+  /** Null where reads are not joined. */
+  private final JoinedReads reads;
+
   private final Map<String, Exchange> open = new HashMap<>();
   private final ArrayDeque<Event> events = new ArrayDeque<>();
 
@@ -92,6 +98,7 @@
    * @param loopClock that loop's clock
    * @param clock the node's time
    * @param overload what is decided on the node's own overload
+   * @param joining whether and how like reads share an answer
    */
   public Dispatcher(
       Settings settings,
@@ -100,7 +107,8 @@
       LoopClock loopClock,
       Clock clock,
       Log log,
-      OverloadControl overload) {
+      OverloadControl overload,
+      JoiningTuning joining) {
     this.overload = overload;
     this.intake = overload.intake(MAX_WAITING, this::turnAway);
     this.loop = loop;
@@ -110,6 +118,8 @@
     this.log = log;
     this.timers = new Timers(loop, loopClock, log, tickNanos(settings));
     this.balancer = new Balancer(settings, seed, this);
+    this.reads =
+        joining.joins() ? new JoinedReads(this, loopClock, timers, settings, joining) : null;
   }
 
   /** The simulator's tick where it is of use to a real clock. */
@@ -186,8 +196,9 @@
   /**
    * Takes a client's request; null if another one has its id, and then its sink is given nothing.
    */
-  public Exchange submit(Call call) {
-    if (open.containsKey(call.request().id())) {
+  public Submission submit(Call call) {
+    String id = call.request().id();
+    if (open.containsKey(id) || reads != null && reads.hasId(id)) {
       call.payload().release();
       return null;
     }
@@ -201,16 +212,60 @@
     if (ending) {
       asked = asked.within(Math.max(0, answerBy - now) / 1e9);
     }
-    Request taken = asked;
-    Exchange request = new Exchange(call, now + (long) (taken.budget() * 1e9));
+    long deadline = now + (long) (asked.budget() * 1e9);
+    Submission joined = reads == null ? null : reads.submit(call, asked, deadline, now);
+    return joined != null ? joined : open(call, asked, deadline);
+  }
+
+  /** Begins an exchange of its own for a request, which has until then. */
+  Exchange open(Call call, Request taken, long deadline) {
+    Exchange request = new Exchange(call, deadline);
     open.put(request.id(), request);
     // Guards against deciding, right after a pause, on what was known before it, and against
-    // writing
-    // to connections whose end waits to be read.
+    // writing to connections whose end waits to be read.
     loopClock.whenCaughtUp(() -> enter(request, taken));
     return request;
   }
 
+  /** Gives an exchange, and the attempts that are out for it, more time. */
+  void extend(Exchange request, long deadline) {
+    if (request.ended || deadline - request.deadlineNanos <= 0) {
+      return;
+    }
+    long now = loopClock.now();
+    long before = request.deadlineNanos - ANSWER_MARGIN_NANOS;
+    request.deadlineNanos = deadline;
+    request.extended = true;
+    for (Attempt attempt : request.attempts) {
+      // One with a time of its own keeps it.
+      if (!attempt.over && attempt.deadlineNanos == before) {
+        attempt.timeout.cancel();
+        attempt.deadlineNanos = deadline - ANSWER_MARGIN_NANOS;
+        limit(attempt, now);
+      }
+    }
+    if (request.begun) {
+      tell(at -> balancer.extend(request.id(), at + (deadline - now) / 1e9));
+    }
+  }
+
+  /** From now on attempts go out in another's words; also those that wait for a connection. */
+  void bear(Exchange request, Call bearer) {
+    request.bearer = bearer;
+    for (Attempt attempt : request.attempts) {
+      if (!attempt.over && attempt.carrier == null) {
+        attempt.call = bearer;
+      }
+    }
+  }
+
+  /** What is due to a client whose time is up while others wait on for the same exchange. */
+  Reply timeUp(Exchange request) {
+    return request.out > 0
+        ? new Reply.Failed(request.mayHaveRun())
+        : new Reply.Refused(overload.advice());
+  }
+
   /** Begins a request now, or lets it wait where this turn has begun as many as it should. */
   private void enter(Exchange request, Request taken) {
     long now = loopClock.now();
@@ -270,10 +325,13 @@
     if (request.ended) {
       return;
     }
+    request.begun = true;
+    double left = (request.deadlineNanos - loopClock.now()) / 1e9;
+    Request asked = request.extended ? taken.lasting(Math.max(0, left)) : taken;
     tell(
         at -> {
           try {
-            balancer.request(at, taken);
+            balancer.request(at, asked);
           } catch (RuntimeException | StackOverflowError e) {
             report("decision module", e);
             fail(request);
@@ -320,13 +378,30 @@
     timers.close();
   }
 
+  boolean closed() {
+    return closed;
+  }
+
   /** Requests that are not over, or of which an attempt is out. */
   public int openRequests() {
-    return open.size();
+    return open.size() + (reads == null ? 0 : reads.size());
+  }
+
+  /** What joining has done so far, null where reads are not joined. */
+  public JoiningReading joining() {
+    return reads == null ? null : reads.reading();
   }
 
   /** The client has closed its connection. */
-  public void clientGone(Exchange request) {
+  public void clientGone(Submission submission) {
+    if (submission instanceof Exchange request) {
+      clientGone(request);
+    } else if (submission instanceof JoinedReads.Waiter waiter) {
+      reads.leave(waiter);
+    }
+  }
+
+  private void clientGone(Exchange request) {
     if (request.ended) {
       return;
     }
@@ -351,6 +426,7 @@
     }
     attempt.over = true;
     attempt.provenNotRun = result.provesNotRun();
+    attempt.request.lastResult = result;
     if (attempt.timeout != null) {
       attempt.timeout.cancel();
     }
@@ -383,9 +459,8 @@
   public void replied(Attempt attempt, ServerReply reply) {
     Exchange request = attempt.request;
     if (reply.result() == Outcome.Result.OK && !request.ended) {
-      request.ended = true;
-      give(
-          request.call,
+      finish(
+          request,
           reply.value() != null
               ? new Reply.Value(reply.value().retain())
               : new Reply.Receipt(reply.receipt()));
@@ -393,6 +468,15 @@
     ended(attempt, reply.result(), reply.note(), reply.load());
   }
 
+  /** The one answer of an exchange. */
+  private void finish(Exchange request, Reply reply) {
+    request.ended = true;
+    if (reads != null) {
+      reads.answered(request);
+    }
+    give(request.call, reply);
+  }
+
   /** Guards against a sink that fails: what else is open must not suffer. */
   void give(Call call, Reply reply) {
     try {
@@ -429,10 +513,15 @@
       ended(attempt, Outcome.Result.MOOT);
       return;
     }
-    attempt.timeout = timers.by(deadline - now, () -> withdraw(attempt, Outcome.Result.TIMEOUT));
+    limit(attempt, now);
     loopClock.whenCaughtUp(() -> upstream.send(attempt));
   }
 
+  private void limit(Attempt attempt, long now) {
+    attempt.timeout =
+        timers.by(attempt.deadlineNanos - now, () -> withdraw(attempt, Outcome.Result.TIMEOUT));
+  }
+
   /** Stops waiting for an attempt. */
   private void withdraw(Attempt attempt, Outcome.Result result) {
     if (!attempt.over) {
@@ -470,8 +559,7 @@
 
   private void end(Exchange request, Reply reply) {
     if (request != null && !request.ended) {
-      request.ended = true;
-      give(request.call, reply);
+      finish(request, reply);
       settle(request);
     }
   }
@@ -508,7 +596,7 @@
     upstream.closeIdle(server);
   }
 
-  @Override
+  /** Writes a line to the node's log. */
   public void log(String text) {
     log.line(text);
   }
--- a/engine/src/main/java/shalepaddle/engine/Engine.java
+++ b/engine/src/main/java/shalepaddle/engine/Engine.java
@@ -66,7 +66,7 @@
   /** A call on its way to the dispatcher, or there. Its fields belong to the event loop. */
   private final class Submitted implements Ticket {
     private final Call call;
-    private Exchange exchange;
+    private Submission taken;
     private boolean cancelled;
 
     Submitted(Call call) {
@@ -78,8 +78,8 @@
         call.payload().release();
         return;
       }
-      exchange = dispatcher.submit(call);
-      if (exchange == null) {
+      taken = dispatcher.submit(call);
+      if (taken == null) {
         dispatcher.give(call, new Reply.Failed(false));
       }
     }
@@ -105,8 +105,8 @@
 
     private void withdraw() {
       cancelled = true;
-      if (exchange != null) {
-        dispatcher.clientGone(exchange);
+      if (taken != null) {
+        dispatcher.clientGone(taken);
       }
     }
   }
--- a/engine/src/main/java/shalepaddle/engine/Exchange.java
+++ b/engine/src/main/java/shalepaddle/engine/Exchange.java
@@ -2,11 +2,15 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import shalepaddle.model.Outcome;
 
 /** A request that this node has taken, from its last byte to its final answer and last outcome. */
-public final class Exchange {
+public final class Exchange implements Submission {
   public final Call call;
-  final long deadlineNanos;
+
+  /** Later once somebody who waits longer has joined it. */
+  long deadlineNanos;
+
   final List<Attempt> attempts = new ArrayList<>(1);
 
   /** Attempts whose outcome the module has not been told. */
@@ -15,8 +19,20 @@
   /** Whether the final answer is given, or the client has gone. */
   boolean ended;
 
+  /** Whether the module knows of it, and whether it had got more time before that. */
+  boolean begun;
+
+  boolean extended;
+
+  /** In whose words attempts go out from now on. */
+  Call bearer;
+
+  /** How the attempt ended that ended last, null if none has. */
+  Outcome.Result lastResult;
+
   Exchange(Call call, long deadlineNanos) {
     this.call = call;
+    this.bearer = call;
     this.deadlineNanos = deadlineNanos;
   }
 
--- a/engine/src/main/java/shalepaddle/front/ClientHandler.java
+++ b/engine/src/main/java/shalepaddle/front/ClientHandler.java
@@ -12,9 +12,9 @@
 import java.util.concurrent.TimeUnit;
 import shalepaddle.engine.Call;
 import shalepaddle.engine.Dispatcher;
-import shalepaddle.engine.Exchange;
 import shalepaddle.engine.Reply;
 import shalepaddle.engine.ReplySink;
+import shalepaddle.engine.Submission;
 import shalepaddle.loop.LoopClock;
 
 /** A client's connection: takes its commands and gives the answers in their order. */
@@ -80,7 +80,7 @@
 
   /** The place of one answer in the order of a connection's answers. */
   final class Slot implements ReplySink {
-    private Exchange request;
+    private Submission request;
     private String id;
 
     /** Bytes that wait for the answers before them, null if there are none. */
--- a/engine/src/main/java/shalepaddle/node/LoadBalancer.java
+++ b/engine/src/main/java/shalepaddle/node/LoadBalancer.java
@@ -17,6 +17,7 @@
 import shalepaddle.engine.MemoryBudget;
 import shalepaddle.front.ClientFront;
 import shalepaddle.front.Gate;
+import shalepaddle.joining.JoiningReading;
 import shalepaddle.loop.Clock;
 import shalepaddle.loop.Log;
 import shalepaddle.loop.LoopClock;
@@ -37,7 +38,8 @@
  * cache servers and the list of them, put together. It knows nothing of processes and signals, so
  * that the same code runs in a daemon, in another program, and in virtual time.
  *
- * <p>All methods are to be called on the event loop, but for {@link #engine} and {@link #overload}.
+ * <p>All methods are to be called on the event loop, but for {@link #engine}, {@link #overload} and
+ * {@link #joining}.
  */
 public final class LoadBalancer {
   /**
@@ -96,6 +98,7 @@
   private Channel listener;
   private long trimmedAt;
   private volatile OverloadReading reading;
+  private volatile JoiningReading joining;
   private boolean closed;
 
   /** One that opens as many connections to each server as its part of the tier allows. */
@@ -135,7 +138,10 @@
     overload = new OverloadControl(settings, operator.overload(), config.seed(), this::told);
     reading = overload.reading();
     processor = new ProcessorUse(config.cores());
-    dispatcher = new Dispatcher(settings, config.seed(), loop, clock, time, log, overload);
+    dispatcher =
+        new Dispatcher(
+            settings, config.seed(), loop, clock, time, log, overload, operator.joining());
+    joining = dispatcher.joining();
     engine = new Engine(loop, dispatcher, MAX_SUBMITTED);
     pools =
         new ServerPools(
@@ -245,6 +251,7 @@
         descriptors / config.sockets(),
         now);
     reading = overload.reading();
+    joining = dispatcher.joining();
     if (overload.posture().trims() && now - trimmedAt > TRIM_NANOS) {
       trimmedAt = now;
       transport.trim();
@@ -269,6 +276,14 @@
     return reading;
   }
 
+  /**
+   * What joining has done, as it stood some milliseconds ago; null where reads are not joined. From
+   * any thread.
+   */
+  public JoiningReading joining() {
+    return joining;
+  }
+
   private void sweepLater() {
     loop.schedule(
         () -> {
--- a/engine/src/main/java/shalepaddle/node/OverloadMetrics.java
+++ b/engine/src/main/java/shalepaddle/node/OverloadMetrics.java
@@ -1,7 +1,5 @@
 package shalepaddle.node;
 
-import io.micrometer.core.instrument.FunctionCounter;
-import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.Tags;
 import io.micrometer.core.instrument.binder.MeterBinder;
@@ -47,29 +45,22 @@
 
   @Override
   public void bindTo(MeterRegistry registry) {
-    level(registry, "processor", r -> r.processorLevel().ordinal());
-    level(registry, "memory", r -> r.memoryLevel().ordinal());
-    level(registry, "descriptors", r -> r.descriptorLevel().ordinal());
-    use(registry, "processor", OverloadReading::processor);
-    use(registry, "memory", OverloadReading::memory);
-    use(registry, "descriptors", OverloadReading::descriptors);
-    Gauge.builder(PREFIX + "delay", reading, r -> r.get().stood())
-        .baseUnit("seconds")
-        .tags(tags)
-        .register(registry);
-    Gauge.builder(PREFIX + "limit", reading, r -> finite(r.get().limit()))
-        .baseUnit("requests/second")
-        .tags(tags)
-        .register(registry);
-    counter(registry, "repeats.refused", tags, OverloadReading::repeatsRefused);
+    ReadingMeters<OverloadReading> meters = new ReadingMeters<>(registry, PREFIX, reading);
+    level(meters, "processor", r -> r.processorLevel().ordinal());
+    level(meters, "memory", r -> r.memoryLevel().ordinal());
+    level(meters, "descriptors", r -> r.descriptorLevel().ordinal());
+    use(meters, "processor", OverloadReading::processor);
+    use(meters, "memory", OverloadReading::memory);
+    use(meters, "descriptors", OverloadReading::descriptors);
+    meters.gauge("delay", "seconds", tags, OverloadReading::stood);
+    meters.gauge("limit", "requests/second", tags, r -> finite(r.limit()));
+    meters.counter("repeats.refused", "requests", tags, OverloadReading::repeatsRefused);
     for (int i = 0; i < reading.get().tiers().size(); i++) {
       int tier = i;
       Tags tagged = tags.and("tier", Integer.toString(tier));
-      Gauge.builder(PREFIX + "passing", reading, r -> r.get().tiers().get(tier).passing())
-          .tags(tagged)
-          .register(registry);
-      counter(registry, "offered", tagged, r -> r.tiers().get(tier).offered());
-      counter(registry, "refused", tagged, r -> r.tiers().get(tier).refused());
+      meters.gauge("passing", null, tagged, r -> r.tiers().get(tier).passing());
+      meters.counter("offered", "requests", tagged, r -> r.tiers().get(tier).offered());
+      meters.counter("refused", "requests", tagged, r -> r.tiers().get(tier).refused());
     }
   }
 
@@ -78,24 +69,16 @@
   }
 
   private void level(
-      MeterRegistry registry, String resource, ToDoubleFunction<OverloadReading> figure) {
-    Gauge.builder(PREFIX + "level", reading, r -> figure.applyAsDouble(r.get()))
-        .tags(tags.and("resource", resource))
-        .register(registry);
+      ReadingMeters<OverloadReading> meters,
+      String resource,
+      ToDoubleFunction<OverloadReading> figure) {
+    meters.gauge("level", null, tags.and("resource", resource), figure);
   }
 
   private void use(
-      MeterRegistry registry, String resource, ToDoubleFunction<OverloadReading> figure) {
-    Gauge.builder(PREFIX + "use", reading, r -> figure.applyAsDouble(r.get()))
-        .tags(tags.and("resource", resource))
-        .register(registry);
-  }
-
-  private void counter(
-      MeterRegistry registry, String name, Tags tagged, ToDoubleFunction<OverloadReading> figure) {
-    FunctionCounter.builder(PREFIX + name, reading, r -> figure.applyAsDouble(r.get()))
-        .baseUnit("requests")
-        .tags(tagged)
-        .register(registry);
+      ReadingMeters<OverloadReading> meters,
+      String resource,
+      ToDoubleFunction<OverloadReading> figure) {
+    meters.gauge("use", null, tags.and("resource", resource), figure);
   }
 }
--- a/engine/src/main/java/shalepaddle/node/Warmup.java
+++ b/engine/src/main/java/shalepaddle/node/Warmup.java
@@ -31,6 +31,7 @@
 import shalepaddle.front.ClientCommand;
 import shalepaddle.front.ClientFront;
 import shalepaddle.front.Gate;
+import shalepaddle.joining.JoiningTuning;
 import shalepaddle.loop.Clock;
 import shalepaddle.loop.Log;
 import shalepaddle.loop.LoopClock;
@@ -86,7 +87,14 @@
       Clock time = new Clock(loop.ticker(), System.currentTimeMillis());
       Dispatcher dispatcher =
           new Dispatcher(
-              pushed(config.settings()), config.seed(), loop, clock, time, log, calm(config));
+              pushed(config.settings()),
+              config.seed(),
+              loop,
+              clock,
+              time,
+              log,
+              calm(config),
+              JoiningTuning.OFF);
       ServerPools pools = pools(dispatcher, loop, allocator);
       loop.submit(() -> dispatcher.start(pools, MemberSource.FIXED)).await();
       List<MemberList.Member> members = new ArrayList<>();
--- a/engine/src/main/java/shalepaddle/upstream/ServerConnection.java
+++ b/engine/src/main/java/shalepaddle/upstream/ServerConnection.java
@@ -122,7 +122,7 @@
     usedAt = now;
     long millis = (attempt.deadlineNanos - usedAt + 999_999) / 1_000_000;
     ChannelFuture written =
-        channel.writeAndFlush(codec.encode(channel.alloc(), attempt.request.call, millis));
+        channel.writeAndFlush(codec.encode(channel.alloc(), attempt.call, millis));
     if (written.isDone()) {
       attempt.written = written.isSuccess();
     } else {
--- a/engine/src/test/java/shalepaddle/node/NodeRig.java
+++ b/engine/src/test/java/shalepaddle/node/NodeRig.java
@@ -31,7 +31,12 @@
 
   /** A node with further settings, which override the usual ones. */
   NodeRig(String settings) throws Exception {
-    node = new Node(config(settings), OperatorFile.USUAL);
+    this(settings, OperatorFile.USUAL);
+  }
+
+  /** A node with further settings, and what an operator sets. */
+  NodeRig(String settings, OperatorFile operator) throws Exception {
+    node = new Node(config(settings), operator);
     address = node.start();
   }
 
--- a/engine/src/test/java/shalepaddle/node/OperatorFileTest.java
+++ b/engine/src/test/java/shalepaddle/node/OperatorFileTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import shalepaddle.config.OperatorFile;
+import shalepaddle.joining.JoiningTuning;
 import shalepaddle.overload.Tuning;
 import shalepaddle.settings.FormatException;
 
@@ -38,17 +39,33 @@
             .overload());
   }
 
+  @Test
+  void readsAreJoinedOnlyWhereItSaysSo() throws Exception {
+    assertEquals(JoiningTuning.OFF, load("").joining());
+    assertEquals(JoiningTuning.USUAL, load("[joining];join = true").joining());
+    assertEquals(
+        new JoiningTuning(true, true, 50, 0.1, 20, 0.5),
+        load("[joining];join = true;across_tenants = true;callers = 50;age_ms = 100;"
+                + "flights = 20;retries = 0.5")
+            .joining());
+  }
+
   @ParameterizedTest
   @CsvSource(
       delimiter = '|',
       value = {
         "# a;[overload];target = 5|line 3: overload.target is not known; known are shed, target_ms",
-        "[overlaod]|line 1: overlaod is not known; known are overload",
+        "[overlaod]|line 1: overlaod is not known; known are overload, joining",
         "overload = 3|line 1: overload must be a table: write [overload] on a line of its own",
         "[overload];;shed = 'no'|line 3: shed must be true or false, without quotes",
         "[overload];learn = '5'|line 2: learn must be a number, such as 0.02",
         "[overload];learn = 0.02;target_ms = 0|line 3: target_ms is 0.0, and must be from 1.0 to",
-        "[overload];learn = |line 2: "
+        "[overload];learn = |line 2: ",
+        "joining = true|line 1: joining must be a table: write [joining] on a line of its own",
+        "[joining];joins = true|line 2: joining.joins is not known; known are join, across_tenants",
+        "[joining];callers = 1.5|line 2: callers must be a whole number, such as 1000",
+        "[joining];join = true;callers = 1|line 3: callers is 1.0, and must be from 2.0 to",
+        "[joining];age_ms = 0|line 2: age_ms is 0.0, and must be from 1.0 to 60000.0"
       })
   void whatIsWrongIsNamedWithItsLine(String text, String message) {
     FormatException e = assertThrows(FormatException.class, () -> load(text));
--- a/engine/src/test/java/shalepaddle/node/SinkTest.java
+++ b/engine/src/test/java/shalepaddle/node/SinkTest.java
@@ -14,10 +14,10 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import shalepaddle.engine.Call;
-import shalepaddle.engine.Exchange;
 import shalepaddle.engine.Payload;
 import shalepaddle.engine.Reply;
 import shalepaddle.engine.ReplySink;
+import shalepaddle.engine.Submission;
 import shalepaddle.model.Request;
 import shalepaddle.testkit.ScriptedPeer;
 
@@ -57,7 +57,7 @@
     return new Request(id, "key", write ? "put" : "read", null, budget, 0, 0, false, write);
   }
 
-  private Exchange submit(Request request, Payload payload, ReplySink sink) throws Exception {
+  private Submission submit(Request request, Payload payload, ReplySink sink) throws Exception {
     return rig.node
         .loop()
         .submit(() -> rig.node.dispatcher().submit(new Call(request, payload, sink)))
--- a/engine/src/test/java/shalepaddle/node/TurnsTest.java
+++ b/engine/src/test/java/shalepaddle/node/TurnsTest.java
@@ -17,10 +17,11 @@
 import shalepaddle.engine.Attempt;
 import shalepaddle.engine.Call;
 import shalepaddle.engine.Dispatcher;
-import shalepaddle.engine.Exchange;
 import shalepaddle.engine.Payload;
 import shalepaddle.engine.Reply;
+import shalepaddle.engine.Submission;
 import shalepaddle.engine.Upstream;
+import shalepaddle.joining.JoiningTuning;
 import shalepaddle.loop.Clock;
 import shalepaddle.loop.Log;
 import shalepaddle.loop.LoopClock;
@@ -90,7 +91,15 @@
         new OverloadControl(
             config.settings(), Tuning.USUAL, 1, (resource, before, now, figure) -> {});
     dispatcher =
-        new Dispatcher(config.settings(), 1, loop, clock, new Clock(ticker, 0), log, overload);
+        new Dispatcher(
+            config.settings(),
+            1,
+            loop,
+            clock,
+            new Clock(ticker, 0),
+            log,
+            overload,
+            JoiningTuning.OFF);
     dispatcher.start(
         new Upstream() {
           @Override
@@ -122,7 +131,7 @@
     loop.runNow();
   }
 
-  private Exchange submit(String id, boolean write) {
+  private Submission submit(String id, boolean write) {
     Payload payload =
         new Payload() {
           private boolean over;
@@ -194,7 +203,7 @@
   void whoLeavesWhileItWaitsIsNotSent() {
     submit("r1", false);
     submit("r2", false);
-    Exchange gone = submit("r3", false);
+    Submission gone = submit("r3", false);
     dispatcher.clientGone(gone);
     turn();
     turn();
--- a/simhost/src/main/java/shalepaddle/sim/ActionWriter.java
+++ b/simhost/src/main/java/shalepaddle/sim/ActionWriter.java
@@ -93,11 +93,6 @@
     action("SHUT_IDLE", () -> out.writeNumberField("server", server));
   }
 
-  @Override
-  public void log(String text) {
-    action("NOTE_DOWN", () -> out.writeStringField("text", text));
-  }
-
   /** Declares the decision code broken. */
   void exception(String text) {
     action("EXCEPTION", () -> out.writeStringField("text", text));
