--- a/benchmarks/src/main/java/shalepaddle/benchmarks/Subject.java
+++ b/benchmarks/src/main/java/shalepaddle/benchmarks/Subject.java
@@ -110,8 +110,13 @@
 
   /** A configuration with these servers, of which none ever leaves. */
   static String config(int port, Servers servers) {
+    return config(port, servers.ports());
+  }
+
+  /** The same with servers that listen on these ports. */
+  static String config(int port, List<Integer> servers) {
     String list =
-        servers.ports().stream()
+        servers.stream()
             .map(
                 server ->
                     """
--- a/cli/src/main/java/shalepaddle/cli/DayCommand.java
+++ b/cli/src/main/java/shalepaddle/cli/DayCommand.java
@@ -40,6 +40,11 @@
       description = "Days played at once (default: one less than there are processors).")
   private int threads = Math.max(1, Runtime.getRuntime().availableProcessors() - 1);
 
+  @Option(
+      names = "--join",
+      description = "Let like reads share an answer; few keys are asked for then.")
+  private boolean joining;
+
   @Option(names = "--all", description = "Print a line for each day, also for those that are good.")
   private boolean all;
 
@@ -80,18 +85,21 @@
     List<Long> failing = new ArrayList<>();
     long asked = 0;
     long served = 0;
+    long shared = 0;
     long days = seeds.to() - seeds.from() + 1;
     try {
       long next = seeds.from();
       for (long i = 1; i <= days; i++) {
         // A few ahead of those that are played: a range may be long.
         for (; next <= seeds.to() && next - seeds.from() < i + 2L * threads; next++) {
-          DayPlan plan = DayPlan.of(next, seconds * 1000L);
+          DayPlan drawn = DayPlan.of(next, seconds * 1000L);
+          DayPlan plan = joining ? drawn.joined() : drawn;
           played.submit(() -> SimulatedDay.play(plan));
         }
         DayReport report = played.take().get();
         asked += report.asked();
         served += report.served();
+        shared += report.shared();
         if (!report.good()) {
           failing.add(report.plan().seed());
         }
@@ -106,11 +114,12 @@
       pool.shutdownNow();
     }
     out.printf(
-        "%d days of %d s, %d requests, %.1f%% served, %d failing%s, %.1f s%n",
+        "%d days of %d s, %d requests, %.1f%% served%s, %d failing%s, %.1f s%n",
         days,
         seconds,
         asked,
         100.0 * served / Math.max(1, asked),
+        joining ? " (%.1f%% by another's try)".formatted(100.0 * shared / Math.max(1, asked)) : "",
         failing.size(),
         failing.isEmpty() ? "" : ": seeds " + failing,
         (System.nanoTime() - began) / 1e9);
--- a/days/src/main/java/shalepaddle/days/DayPlan.java
+++ b/days/src/main/java/shalepaddle/days/DayPlan.java
@@ -22,6 +22,7 @@
  * @param lagMillis how late the list tells of changes
  * @param millis how long clients ask
  * @param troubles what goes wrong, in the order of time
+ * @param joining whether like reads share an answer; then few keys are asked for, so that many do
  */
 public record DayPlan(
     long seed,
@@ -36,7 +37,8 @@
     double goneShare,
     long lagMillis,
     long millis,
-    List<Trouble> troubles) {
+    List<Trouble> troubles,
+    boolean joining) {
 
   /** A kind of trouble. */
   public enum Kind {
@@ -121,7 +123,27 @@
         random.nextInt(3) == 0 ? 0.03 : 0,
         random.nextInt(3) == 0 ? random.nextInt(5000) : random.nextInt(300),
         millis,
-        List.copyOf(troubles));
+        List.copyOf(troubles),
+        false);
+  }
+
+  /** The same day with load balancers that let like reads share an answer. */
+  public DayPlan joined() {
+    return new DayPlan(
+        seed,
+        servers,
+        nodes,
+        asksForList,
+        maxAttempts,
+        parallel,
+        perConnection,
+        ratePerSecond,
+        skew,
+        goneShare,
+        lagMillis,
+        millis,
+        troubles,
+        true);
   }
 
   private static double strength(Kind kind, SplittableRandom random) {
--- a/days/src/main/java/shalepaddle/days/DayReport.java
+++ b/days/src/main/java/shalepaddle/days/DayReport.java
@@ -13,6 +13,7 @@
  * @param failed requests that failed
  * @param crossed requests that crossed the end of their connection
  * @param fetches what the origin was asked for
+ * @param shared reads served with an answer that another's try brought
  * @param p99Micros the 99th percentile of the time to an answer that served
  * @param digest a figure made of every answer and its time: the same in every run of the same code
  */
@@ -25,6 +26,7 @@
     int failed,
     int crossed,
     int fetches,
+    long shared,
     long p99Micros,
     long digest) {
 
--- a/days/src/main/java/shalepaddle/days/SimulatedDay.java
+++ b/days/src/main/java/shalepaddle/days/SimulatedDay.java
@@ -20,12 +20,15 @@
 import java.util.function.Consumer;
 import shalepaddle.config.NodeConfig;
 import shalepaddle.config.OperatorFile;
+import shalepaddle.joining.JoiningReading;
+import shalepaddle.joining.JoiningTuning;
 import shalepaddle.loop.Clock;
 import shalepaddle.loop.Log;
 import shalepaddle.loop.LoopClock;
 import shalepaddle.loop.WatchedIoHandler;
 import shalepaddle.node.LoadBalancer;
 import shalepaddle.node.Transport;
+import shalepaddle.overload.Tuning;
 import shalepaddle.settings.FormatException;
 import shalepaddle.settings.JsonObject;
 import shalepaddle.testkit.Ledger;
@@ -59,6 +62,8 @@
    */
   private static final int LINGER_MILLIS = 2000;
 
+  private static final int KEYS = 2000;
+  private static final int JOINED_KEYS = 40;
   private static final int DRAIN_GRACE_MILLIS = 2000;
   private static final int DEADLINE_MILLIS = 2000;
   private static final double COLD_SHARE = 0.12;
@@ -122,8 +127,16 @@
     origin = new StandInOrigin(wire, plan.seed() + 1, 12, 0.06);
     rude = new RudeClients(wire, plan.seed() + 3);
     Traffic traffic =
-        new Traffic(plan.ratePerSecond(), 2000, plan.skew(), CLASSES, plan.goneShare());
+        new Traffic(
+            plan.ratePerSecond(),
+            plan.joining() ? JOINED_KEYS : KEYS,
+            plan.skew(),
+            CLASSES,
+            plan.goneShare());
     clients = new StandInClients(wire, ledger, traffic, GRACE_MILLIS, 80, plan.seed() + 2);
+    if (plan.joining()) {
+      clients.mayShareAnswers();
+    }
   }
 
   /** Plays this day. */
@@ -165,10 +178,16 @@
         clients.failed(),
         clients.crossed(),
         origin.fetches(),
+        instances.stream().mapToLong(SimulatedDay::shared).sum(),
         clients.latencies().getValueAtPercentile(99),
         clients.digest());
   }
 
+  private static long shared(Instance instance) {
+    JoiningReading joining = instance.balancer().joining();
+    return joining == null ? 0 : joining.shared();
+  }
+
   private void later(long millis, Runnable step) {
     wire.loop().schedule(step, millis, TimeUnit.MILLISECONDS);
   }
@@ -208,7 +227,9 @@
     LoadBalancer balancer =
         new LoadBalancer(
             NodeConfig.parse(JsonObject.parse(config(discovery))),
-            OperatorFile.USUAL,
+            plan.joining()
+                ? new OperatorFile(Tuning.USUAL, JoiningTuning.USUAL)
+                : OperatorFile.USUAL,
             loop,
             clock,
             new Clock(time.ticker(), EPOCH_MILLIS + time.millis()),
--- a/engine/src/main/java/shalepaddle/engine/Dispatcher.java
+++ b/engine/src/main/java/shalepaddle/engine/Dispatcher.java
@@ -214,17 +214,26 @@
     }
     long deadline = now + (long) (asked.budget() * 1e9);
     Submission joined = reads == null ? null : reads.submit(call, asked, deadline, now);
-    return joined != null ? joined : open(call, asked, deadline);
+    if (joined != null) {
+      return joined;
+    }
+    Exchange request = open(call, deadline);
+    start(request, asked);
+    return request;
   }
 
-  /** Begins an exchange of its own for a request, which has until then. */
-  Exchange open(Call call, Request taken, long deadline) {
+  /** An exchange for a request, which has until then; it is to be started. */
+  Exchange open(Call call, long deadline) {
     Exchange request = new Exchange(call, deadline);
     open.put(request.id(), request);
+    return request;
+  }
+
+  /** Begins an exchange. Its answer may be given before this returns. */
+  void start(Exchange request, Request taken) {
     // Guards against deciding, right after a pause, on what was known before it, and against
     // writing to connections whose end waits to be read.
     loopClock.whenCaughtUp(() -> enter(request, taken));
-    return request;
   }
 
   /** Gives an exchange, and the attempts that are out for it, more time. */
--- a/engine/src/main/java/shalepaddle/engine/JoinedReads.java
+++ b/engine/src/main/java/shalepaddle/engine/JoinedReads.java
@@ -175,9 +175,10 @@
 
     private void begin(Waiter waiter, Request asked, long now) {
       bearer = waiter;
-      Call call = new Call(asked, waiter.call.payload(), this);
-      exchange = dispatcher.open(call, asked, flight.deadline());
+      exchange = dispatcher.open(new Call(asked, waiter.call.payload(), this), flight.deadline());
       arm(now);
+      // Last: it may be answered at once, and begin anew for the next.
+      dispatcher.start(exchange, asked);
     }
 
     /** Somebody has joined, who may wait longer than all before. */
--- a/engine/src/test/java/shalepaddle/node/JoinedReadsTest.java
+++ b/engine/src/test/java/shalepaddle/node/JoinedReadsTest.java
@@ -67,6 +67,9 @@
   /** Whether attempts wait for a connection. */
   private boolean noConnection;
 
+  /** Whether attempts end as broken before their send returns. */
+  private boolean breaksAtOnce;
+
   private final LoopClock clock =
       new LoopClock(
           ticker,
@@ -141,6 +144,10 @@
     @Override
     public void send(Attempt attempt) {
       sent.add(attempt);
+      if (breaksAtOnce) {
+        dispatcher.ended(attempt, Outcome.Result.CONNECT_FAILED);
+        return;
+      }
       if (!noConnection) {
         attempt.carrier = (gone, overdue) -> {};
         attempt.written = true;
@@ -416,6 +423,40 @@
     assertEquals(100, replies.size());
   }
 
+  @Test
+  void whatIsRefusedAtOnceIsAnsweredAtOnce() {
+    dispatcher.membership(new MembershipUpdate(MembershipUpdate.Kind.FULL, 2, List.of()));
+    for (int i = 0; i < 3; i++) {
+      read("r" + i, 1000);
+      assertInstanceOf(Reply.Refused.class, replies.get("r" + i));
+    }
+    assertEquals(0, dispatcher.openRequests());
+  }
+
+  @Test
+  void whatBreaksAtOnceAgainAndAgainIsAnsweredForAll() {
+    for (int i = 0; i < 10; i++) {
+      read("r" + i, 1000);
+    }
+    breaksAtOnce = true;
+    dispatcher.ended(sent.get(0), Outcome.Result.RESET);
+    assertEquals(4, sent.size());
+    assertEquals(10, replies.size());
+    assertEquals("r0", replies.keySet().iterator().next());
+  }
+
+  @Test
+  void whatJoinsAfterABreakGivesTheNewTryItsTime() {
+    read("a", 300);
+    read("b", 300);
+    dispatcher.ended(sent.get(0), Outcome.Result.RESET);
+    read("c", 2000);
+    pass(400);
+    assertInstanceOf(Reply.Failed.class, replies.get("b"));
+    serve(sent.get(1), "v");
+    assertEquals("v", value("c"));
+  }
+
   @Test
   void aServerThatTurnsAwayIsAskedOnceForAll() {
     for (int i = 0; i < 100; i++) {
