--- a/engine/src/test/java/shalepaddle/node/JoinedReadsTest.java
+++ b/engine/src/test/java/shalepaddle/node/JoinedReadsTest.java
@@ -9,10 +9,6 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.buffer.UnpooledByteBufAllocator;
-import io.netty.channel.ManualIoEventLoop;
-import io.netty.channel.local.LocalIoHandler;
-import io.netty.util.concurrent.MockTicker;
-import io.netty.util.concurrent.Ticker;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -25,7 +21,6 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import shalepaddle.codec.meta.MetaReplies;
-import shalepaddle.config.NodeConfig;
 import shalepaddle.engine.Attempt;
 import shalepaddle.engine.Call;
 import shalepaddle.engine.Dispatcher;
@@ -35,24 +30,16 @@
 import shalepaddle.engine.Submission;
 import shalepaddle.engine.Upstream;
 import shalepaddle.joining.JoiningTuning;
-import shalepaddle.loop.Clock;
-import shalepaddle.loop.Log;
 import shalepaddle.loop.LoopClock;
-import shalepaddle.loop.WatchedIoHandler;
-import shalepaddle.membership.MemberSource;
 import shalepaddle.model.MembershipUpdate;
 import shalepaddle.model.Outcome;
 import shalepaddle.model.Request;
 import shalepaddle.model.ServerEntry;
-import shalepaddle.overload.OverloadControl;
-import shalepaddle.overload.Tuning;
-import shalepaddle.settings.JsonObject;
 
 /** Like reads at a dispatcher whose servers are this test, in time that this test lets pass. */
 class JoinedReadsTest {
   private static final long TICK = 1;
 
-  private final MockTicker ticker = Ticker.newMockTicker();
   private final List<Attempt> sent = new ArrayList<>();
   private final List<Attempt> withdrawn = new ArrayList<>();
 
@@ -70,9 +57,8 @@
   /** Whether attempts end as broken before their send returns. */
   private boolean breaksAtOnce;
 
-  private final LoopClock clock =
-      new LoopClock(
-          ticker,
+  private final VirtualEngine engine =
+      new VirtualEngine(
           new LoopClock.Listener() {
             @Override
             public void paused(long nanos) {}
@@ -86,12 +72,6 @@
             public void turned(long begunAt, long now) {}
           });
 
-  private final ManualIoEventLoop loop =
-      new ManualIoEventLoop(
-          null,
-          Thread.currentThread(),
-          WatchedIoHandler.factory(LocalIoHandler.newFactory(), clock),
-          ticker);
   private Dispatcher dispatcher;
 
   JoinedReadsTest() throws Exception {
@@ -99,45 +79,21 @@
   }
 
   private void start(int maxAttempts) throws Exception {
-    NodeConfig config =
-        NodeConfig.parse(
-            JsonObject.parse(
-                """
-                {"listen":"127.0.0.1:0","discovery":"127.0.0.1:9","seed":"1",
-                 "limits":{"sockets":256,"memory_mb":128},
-                 "known":{"version":1,"full":true,"servers":[]},
-                 "settings":{"discovery":"push","tick":0.001,
-                  "caps":{"attempts-cap":%d,"cancel":true,"connect-timeout":0.15,"conn-idle":60,
-                          "retry-after":true,"max-retry-after":1},
-                  "contract":{"ask-within":10,"drain-grace":2,"cold-from":0.1,"warm-within":1},
-                  "services":[
-                   {"name":"read","effect":"retryable","slo":0.75,"give-up":2,"credit":2},
-                   {"name":"once","effect":"fragile","slo":0.75,"give-up":2,"credit":2},
-                   {"name":"write","effect":"fragile","slo":0.3,"give-up":2,"credit":5}]}}
-                """
-                    .formatted(maxAttempts)));
-    Log log = new Log(ticker, line -> {});
-    OverloadControl overload =
-        new OverloadControl(
-            config.settings(), Tuning.USUAL, 1, (resource, before, now, figure) -> {});
     dispatcher =
-        new Dispatcher(
-            config.settings(),
-            1,
-            loop,
-            clock,
-            new Clock(ticker, 0),
-            log,
-            overload,
-            JoiningTuning.USUAL);
-    dispatcher.start(new Servers(), MemberSource.FIXED);
-    dispatcher.membership(
-        new MembershipUpdate(
-            MembershipUpdate.Kind.FULL,
-            1,
-            List.of(
-                new ServerEntry(7, "a", "m", 0, ServerEntry.State.READY, 1, 0),
-                new ServerEntry(8, "a", "m", 0, ServerEntry.State.READY, 1, 0))));
+        engine.start(
+            """
+            "attempts-cap":%d,"cancel":true,"retry-after":true,"max-retry-after":1
+            """
+                .formatted(maxAttempts),
+            """
+            {"name":"read","effect":"retryable","slo":0.75,"give-up":2,"credit":2},
+            {"name":"once","effect":"fragile","slo":0.75,"give-up":2,"credit":2},
+            {"name":"write","effect":"fragile","slo":0.3,"give-up":2,"credit":5}
+            """,
+            JoiningTuning.USUAL,
+            new Servers(),
+            7,
+            8);
   }
 
   private final class Servers implements Upstream {
@@ -176,19 +132,7 @@
         served.value().release();
       }
     }
-    loop.shutdownGracefully(0, 0, TimeUnit.SECONDS);
-    loop.runNow();
-  }
-
-  private void pass(long millis) {
-    for (long i = 0; i < millis; i++) {
-      ticker.advance(1, TimeUnit.MILLISECONDS);
-      loop.runNow();
-    }
-  }
-
-  private long now() {
-    return TimeUnit.NANOSECONDS.toMillis(ticker.nanoTime() - ticker.initialNanoTime());
+    engine.close();
   }
 
   private Submission ask(String id, String type, long millis, Runnable then) {
@@ -217,7 +161,7 @@
                 payload,
                 reply -> {
                   assertNull(replies.put(id, reply), id + " is answered once");
-                  answeredAt.put(id, now());
+                  answeredAt.put(id, engine.millis());
                   then.run();
                 }));
     submissions.put(id, submission);
@@ -272,7 +216,7 @@
       order.add("r" + i);
     }
     assertEquals(1, sent.size());
-    pass(40);
+    engine.pass(40);
     ByteBuf value = serve(sent.get(0), "hello");
     assertEquals(order, new ArrayList<>(replies.keySet()));
     assertEquals(100, value.refCnt(), "one buffer, held by each of them");
@@ -296,7 +240,7 @@
           assertEquals(List.of(sent.get(0)), withdrawn, "nobody else waits");
         }
       }
-      pass(i % 10 == 0 ? 1 : 0);
+      engine.pass(i % 10 == 0 ? 1 : 0);
       if (i > 0) {
         order.add("r" + i);
       }
@@ -311,9 +255,9 @@
     for (int i = 0; i < 100; i++) {
       read("r" + i, 10 * (i + 1));
     }
-    pass(504);
+    engine.pass(504);
     serve(sent.get(0), "late");
-    pass(600);
+    engine.pass(600);
     assertEquals(1, sent.size());
     for (int i = 0; i < 100; i++) {
       long due = 10 * (i + 1);
@@ -330,12 +274,12 @@
   @Test
   void thePatientGetTheAnswerThatTheImpatientDidNot() {
     read("hasty", 100);
-    pass(20);
+    engine.pass(20);
     read("patient", 1000);
-    pass(100);
+    engine.pass(100);
     assertInstanceOf(Reply.Failed.class, replies.get("hasty"));
     assertEquals(List.of(), withdrawn, "its attempt has the other's time");
-    pass(500);
+    engine.pass(500);
     serve(sent.get(0), "v");
     assertEquals("v", value("patient"));
   }
@@ -346,7 +290,7 @@
     noConnection = true;
     read("a", 50);
     read("b", 800);
-    pass(60);
+    engine.pass(60);
     assertEquals(List.of("a"), List.copyOf(replies.keySet()));
     Attempt attempt = sent.get(0);
     assertEquals(
@@ -451,7 +395,7 @@
     read("b", 300);
     dispatcher.ended(sent.get(0), Outcome.Result.RESET);
     read("c", 2000);
-    pass(400);
+    engine.pass(400);
     assertInstanceOf(Reply.Failed.class, replies.get("b"));
     serve(sent.get(1), "v");
     assertEquals("v", value("c"));
@@ -530,9 +474,9 @@
   @Test
   void aDrainGivesNobodyMoreTimeThanIsLeft() {
     read("a", 300);
-    dispatcher.answerBy(clock.now() + TimeUnit.MILLISECONDS.toNanos(500));
+    dispatcher.answerBy(engine.clock.now() + TimeUnit.MILLISECONDS.toNanos(500));
     read("b", 2000);
-    pass(510);
+    engine.pass(510);
     assertTrue(answeredAt.get("b") <= 500, "answered at " + answeredAt);
     assertEquals(2, replies.size());
   }
@@ -578,7 +522,7 @@
     warm();
     read("a", 2000);
     for (int i = 0; i < 40; i++) {
-      pass(20);
+      engine.pass(20);
       read("r" + i, 2000);
     }
     assertTrue(sent.size() >= 3 && sent.size() <= 4, sent.size() + " attempts in 800 ms");
@@ -611,8 +555,9 @@
     start(3);
     ask("w", "once", 1000, () -> {});
     Attempt attempt = sent.get(0);
-    // So that its time ends within a tick, and one tick before the time of its answer.
-    ticker.advance(997_600, TimeUnit.MICROSECONDS);
+    // An attempt must end 2 ms before its request.
+    engine.pass(997);
+    engine.ticker.advance(600, TimeUnit.MICROSECONDS);
     dispatcher.ended(attempt, Outcome.Result.CONNECT_FAILED);
     assertEquals(1, sent.size());
   }
--- a/engine/src/test/java/shalepaddle/node/TurnsTest.java
+++ b/engine/src/test/java/shalepaddle/node/TurnsTest.java
@@ -4,16 +4,11 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.channel.ManualIoEventLoop;
-import io.netty.channel.local.LocalIoHandler;
-import io.netty.util.concurrent.MockTicker;
-import io.netty.util.concurrent.Ticker;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
-import shalepaddle.config.NodeConfig;
 import shalepaddle.engine.Attempt;
 import shalepaddle.engine.Call;
 import shalepaddle.engine.Dispatcher;
@@ -22,30 +17,19 @@
 import shalepaddle.engine.Submission;
 import shalepaddle.engine.Upstream;
 import shalepaddle.joining.JoiningTuning;
-import shalepaddle.loop.Clock;
-import shalepaddle.loop.Log;
 import shalepaddle.loop.LoopClock;
-import shalepaddle.loop.WatchedIoHandler;
-import shalepaddle.membership.MemberSource;
-import shalepaddle.model.MembershipUpdate;
 import shalepaddle.model.Request;
-import shalepaddle.model.ServerEntry;
-import shalepaddle.overload.OverloadControl;
-import shalepaddle.overload.Tuning;
-import shalepaddle.settings.JsonObject;
 
 /** A dispatcher whose every send takes 2 ms of a clock that runs for nothing else. */
 class TurnsTest {
-  private final MockTicker ticker = Ticker.newMockTicker();
   private final List<String> sent = new ArrayList<>();
   private final List<Reply> replies = new ArrayList<>();
   private final List<String> refused = new ArrayList<>();
   private final List<Long> turns = new ArrayList<>();
   private int released;
 
-  private final LoopClock clock =
-      new LoopClock(
-          ticker,
+  private final VirtualEngine engine =
+      new VirtualEngine(
           new LoopClock.Listener() {
             @Override
             public void paused(long nanos) {
@@ -63,63 +47,33 @@
             }
           });
 
-  private final ManualIoEventLoop loop =
-      new ManualIoEventLoop(
-          null,
-          Thread.currentThread(),
-          WatchedIoHandler.factory(LocalIoHandler.newFactory(), clock),
-          ticker);
   private final Dispatcher dispatcher;
 
   TurnsTest() throws Exception {
-    NodeConfig config =
-        NodeConfig.parse(
-            JsonObject.parse(
-                """
-                {"listen":"127.0.0.1:0","discovery":"127.0.0.1:9","seed":"1",
-                 "limits":{"sockets":256,"memory_mb":128},
-                 "known":{"version":1,"full":true,"servers":[]},
-                 "settings":{"discovery":"push",
-                  "caps":{"attempts-cap":1,"connect-timeout":0.15,"conn-idle":60},
-                  "contract":{"ask-within":10,"drain-grace":2,"cold-from":0.1,"warm-within":1},
-                  "services":[
-                   {"name":"read","effect":"retryable","slo":0.75,"give-up":2,"credit":2},
-                   {"name":"write","effect":"fragile","slo":0.3,"give-up":2,"credit":5}]}}
-                """));
-    Log log = new Log(ticker, line -> {});
-    OverloadControl overload =
-        new OverloadControl(
-            config.settings(), Tuning.USUAL, 1, (resource, before, now, figure) -> {});
     dispatcher =
-        new Dispatcher(
-            config.settings(),
-            1,
-            loop,
-            clock,
-            new Clock(ticker, 0),
-            log,
-            overload,
-            JoiningTuning.OFF);
-    dispatcher.start(
-        new Upstream() {
-          @Override
-          public void send(Attempt attempt) {
-            sent.add(attempt.request.id());
-            ticker.advance(2, TimeUnit.MILLISECONDS);
-          }
+        engine.start(
+            """
+            "attempts-cap":1
+            """,
+            """
+            {"name":"read","effect":"retryable","slo":0.75,"give-up":2,"credit":2},
+            {"name":"write","effect":"fragile","slo":0.3,"give-up":2,"credit":5}
+            """,
+            JoiningTuning.OFF,
+            new Upstream() {
+              @Override
+              public void send(Attempt attempt) {
+                sent.add(attempt.request.id());
+                engine.ticker.advance(2, TimeUnit.MILLISECONDS);
+              }
 
-          @Override
-          public void withdraw(Attempt attempt, boolean overdue) {}
+              @Override
+              public void withdraw(Attempt attempt, boolean overdue) {}
 
-          @Override
-          public void closeIdle(long server) {}
-        },
-        MemberSource.FIXED);
-    dispatcher.membership(
-        new MembershipUpdate(
-            MembershipUpdate.Kind.FULL,
-            1,
-            List.of(new ServerEntry(7, "a", "m", 0, ServerEntry.State.READY, 1, 0))));
+              @Override
+              public void closeIdle(long server) {}
+            },
+            7);
   }
 
   @AfterEach
@@ -127,8 +81,7 @@
     dispatcher.close();
     assertEquals(0, dispatcher.openRequests());
     assertEquals(released, replies.size(), "each payload is released once");
-    loop.shutdownGracefully(0, 0, TimeUnit.SECONDS);
-    loop.runNow();
+    engine.close();
   }
 
   private Submission submit(String id, boolean write) {
@@ -162,8 +115,8 @@
 
   /** Lets the loop run once, as it does after it has read. */
   private void turn() {
-    ticker.advance(1, TimeUnit.MICROSECONDS);
-    loop.runNow();
+    engine.ticker.advance(1, TimeUnit.MICROSECONDS);
+    engine.loop.runNow();
   }
 
   @Test
