Say once what joining, its tests and benchmarks said twice

Behaviour is as before. A flight that broke asks first whether anybody but its bearer has time left, in place of a second copy of how a flight ends; Flight.waiting had no caller. The check of an operator's figures stood in two records (now model.Bounds), the median with its range in two benchmarks (Figures), the payload that counts its release in two tests (VirtualEngine), the list of deciding packages three times in ArchitectureTest.

--- a/benchmarks/src/main/java/shalepaddle/benchmarks/BesideRelay.java
+++ b/benchmarks/src/main/java/shalepaddle/benchmarks/BesideRelay.java
@@ -117,16 +117,10 @@
       System.out.printf(
           "%-10s of the relay %s   requests/s %s   start ms %s   MB %s%n",
           name,
-          spread(ratios, "%.3f"),
-          spread(rates.get(name), "%.0f"),
-          spread(starts.get(name), "%.0f"),
-          spread(memory.get(name), "%.1f"));
+          Figures.spread(ratios, "%.3f"),
+          Figures.spread(rates.get(name), "%.0f"),
+          Figures.spread(starts.get(name), "%.0f"),
+          Figures.spread(memory.get(name), "%.1f"));
     }
   }
-
-  private static String spread(List<Double> values, String format) {
-    List<Double> sorted = values.stream().sorted().toList();
-    return (format + " (" + format + " to " + format + ")")
-        .formatted(sorted.get(sorted.size() / 2), sorted.get(0), sorted.get(sorted.size() - 1));
-  }
 }
--- a/benchmarks/src/main/java/shalepaddle/benchmarks/ColdCaches.java
+++ b/benchmarks/src/main/java/shalepaddle/benchmarks/ColdCaches.java
@@ -203,9 +203,7 @@
   }
 
   private static String spread(List<Turn> turns, ToDoubleFunction<Turn> figure) {
-    double[] sorted = turns.stream().mapToDouble(figure).sorted().toArray();
-    return "%.0f (%.0f to %.0f)"
-        .formatted(sorted[sorted.length / 2], sorted[0], sorted[sorted.length - 1]);
+    return Figures.spread(turns.stream().mapToDouble(figure).boxed().toList(), "%.0f");
   }
 
   private void draw() throws Exception {
--- a/core/src/main/java/shalepaddle/joining/Flight.java
+++ b/core/src/main/java/shalepaddle/joining/Flight.java
@@ -95,11 +95,6 @@
     return over;
   }
 
-  /** Callers that still wait. */
-  public int waiting() {
-    return waiting;
-  }
-
   /** When the last of its callers' time is up, in nanoseconds. */
   public long deadline() {
     return deadline;
@@ -147,14 +142,27 @@
     return all;
   }
 
-  /** After a failed try: when the last of those who still wait has no time any more. */
-  void shorten() {
-    long latest = Long.MIN_VALUE;
+  /** Whether anybody but the bearer still has time. */
+  boolean outlastsBearer(long now) {
+    Caller<C> bearer = bearer();
+    for (Caller<C> caller : callers) {
+      if (caller != bearer && !caller.over && caller.deadline - now > 0) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Drops the bearer, and lasts for as long as those who still wait; returns who it was. */
+  Caller<C> dropBearer() {
+    Caller<C> bearer = bearer();
+    drop(bearer);
+    deadline = Long.MIN_VALUE;
     for (Caller<C> caller : callers) {
       if (!caller.over) {
-        latest = Math.max(latest, caller.deadline);
+        deadline = Math.max(deadline, caller.deadline);
       }
     }
-    deadline = latest;
+    return bearer;
   }
 }
--- a/core/src/main/java/shalepaddle/joining/Joining.java
+++ b/core/src/main/java/shalepaddle/joining/Joining.java
@@ -77,8 +77,7 @@
       unlist(flight);
       flight = null;
     }
-    boolean begins = flight == null;
-    if (begins) {
+    if (flight == null) {
       if (open >= tuning.flights()) {
         alone++;
         return null;
@@ -190,10 +189,15 @@
       return new Verdict<>(List.of(), false);
     }
     if (ending == Ending.BROKEN && flight.waiting > 1 && flight.retries < MAX_RETRIES) {
-      if (tokens >= 1) {
-        return again(flight, now);
+      if (tokens < 1) {
+        spent++;
+      } else if (flight.outlastsBearer(now)) {
+        tokens--;
+        retried++;
+        flight.retries++;
+        waiting--;
+        return new Verdict<>(List.of(flight.dropBearer()), true);
       }
-      spent++;
     }
     // Nobody may join an older flight of this key: it could hold an older value.
     if (ending == Ending.SERVED) {
@@ -208,24 +212,6 @@
     return new Verdict<>(all, false);
   }
 
-  private Verdict<C> again(Flight<C> flight, long now) {
-    Caller<C> unlucky = flight.bearer();
-    flight.drop(unlucky);
-    waiting--;
-    flight.shorten();
-    if (flight.deadline - now <= 0) {
-      List<Caller<C>> all = flight.dismiss();
-      all.add(0, unlucky);
-      waiting -= all.size() - 1;
-      close(flight);
-      return new Verdict<>(all, false);
-    }
-    tokens--;
-    retried++;
-    flight.retries++;
-    return new Verdict<>(List.of(unlucky), true);
-  }
-
   /**
    * Advice for one of several who are refused together, so that they do not come back together: as
    * it was given, less or more by up to a quarter.
--- a/core/src/main/java/shalepaddle/joining/JoiningTuning.java
+++ b/core/src/main/java/shalepaddle/joining/JoiningTuning.java
@@ -1,5 +1,7 @@
 package shalepaddle.joining;
 
+import shalepaddle.model.Bounds;
+
 /**
  * The figures of joining that an operator may set.
  *
@@ -32,16 +34,9 @@
    * @throws IllegalArgumentException if one is out of its range; the message names it and the range
    */
   public JoiningTuning {
-    within("callers", callers, 2, 100_000);
-    within("age_ms", age * 1e3, 1, 60_000);
-    within("flights", flights, 1, 1_000_000);
-    within("retries", retries, 0, 1);
-  }
-
-  private static void within(String name, double value, double least, double most) {
-    if (!(value >= least && value <= most)) {
-      throw new IllegalArgumentException(
-          "%s is %s, and must be from %s to %s".formatted(name, value, least, most));
-    }
+    Bounds.within("callers", callers, 2, 100_000);
+    Bounds.within("age_ms", age * 1e3, 1, 60_000);
+    Bounds.within("flights", flights, 1, 1_000_000);
+    Bounds.within("retries", retries, 0, 1);
   }
 }
--- a/core/src/main/java/shalepaddle/overload/Tuning.java
+++ b/core/src/main/java/shalepaddle/overload/Tuning.java
@@ -1,5 +1,7 @@
 package shalepaddle.overload;
 
+import shalepaddle.model.Bounds;
+
 /**
  * The figures that an operator may set, all others follow from these. The {@link #USUAL} ones are
  * meant to be left alone.
@@ -29,17 +31,10 @@
    * @throws IllegalArgumentException if one is out of its range; the message names it and the range
    */
   public Tuning {
-    within("target_ms", target * 1e3, 1, 1000);
-    within("learn", learn, 0.001, 0.5);
-    within("repeats", repeats, 0, 10);
-    within("waits_ms", waits * 1e3, 1, 10_000);
-    within("advice_ms", advice * 1e3, 0, 60_000);
-  }
-
-  private static void within(String name, double value, double least, double most) {
-    if (!(value >= least && value <= most)) {
-      throw new IllegalArgumentException(
-          "%s is %s, and must be from %s to %s".formatted(name, value, least, most));
-    }
+    Bounds.within("target_ms", target * 1e3, 1, 1000);
+    Bounds.within("learn", learn, 0.001, 0.5);
+    Bounds.within("repeats", repeats, 0, 10);
+    Bounds.within("waits_ms", waits * 1e3, 1, 10_000);
+    Bounds.within("advice_ms", advice * 1e3, 0, 60_000);
   }
 }
--- a/daemon/src/test/java/shalepaddle/daemon/ArchitectureTest.java
+++ b/daemon/src/test/java/shalepaddle/daemon/ArchitectureTest.java
@@ -8,8 +8,10 @@
 import com.tngtech.archunit.core.importer.ClassFileImporter;
 import com.tngtech.archunit.core.importer.ImportOption;
 import com.tngtech.archunit.library.dependencies.SlicesRuleDefinition;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 
 /** Who may know what: the table of the modules, held by the byte code. */
@@ -19,29 +21,32 @@
           .withImportOption(new ImportOption.DoNotIncludeTests())
           .importPackages("shalepaddle");
 
+  /** The packages that decide, and what they decide on. */
+  private static final String[] DECISIONS = {
+    "shalepaddle.model..", "shalepaddle.policy..", "shalepaddle.overload..", "shalepaddle.joining.."
+  };
+
+  private static final String[] DECISIONS_AND_JAVA =
+      Stream.concat(
+              Arrays.stream(DECISIONS),
+              Stream.of(
+                  "java.lang",
+                  "java.lang.invoke",
+                  "java.lang.runtime",
+                  "java.util",
+                  "java.util.function",
+                  "java.util.stream",
+                  "java.nio.charset"))
+          .toArray(String[]::new);
+
   @Test
   void decisionsKnowNoSocketsThreadsOrFiles() {
     classes()
         .that()
-        .resideInAnyPackage(
-            "shalepaddle.model..",
-            "shalepaddle.policy..",
-            "shalepaddle.overload..",
-            "shalepaddle.joining..")
+        .resideInAnyPackage(DECISIONS)
         .should()
         .onlyDependOnClassesThat()
-        .resideInAnyPackage(
-            "shalepaddle.model..",
-            "shalepaddle.policy..",
-            "shalepaddle.overload..",
-            "shalepaddle.joining..",
-            "java.lang",
-            "java.lang.invoke",
-            "java.lang.runtime",
-            "java.util",
-            "java.util.function",
-            "java.util.stream",
-            "java.nio.charset")
+        .resideInAnyPackage(DECISIONS_AND_JAVA)
         .check(ALL);
   }
 
@@ -50,11 +55,7 @@
     for (String clock : new String[] {"nanoTime", "currentTimeMillis"}) {
       noClasses()
           .that()
-          .resideInAnyPackage(
-              "shalepaddle.model..",
-              "shalepaddle.policy..",
-              "shalepaddle.overload..",
-              "shalepaddle.joining..")
+          .resideInAnyPackage(DECISIONS)
           .should()
           .callMethod(System.class, clock)
           .check(ALL);
--- a/engine/src/main/java/shalepaddle/engine/JoinedReads.java
+++ b/engine/src/main/java/shalepaddle/engine/JoinedReads.java
@@ -234,7 +234,7 @@
         }
       }
       if (flight.isOver()) {
-        dispatcher.clientGone(exchange);
+        abandon();
       } else {
         bear();
         arm(now);
--- a/engine/src/test/java/shalepaddle/node/JoinedReadsTest.java
+++ b/engine/src/test/java/shalepaddle/node/JoinedReadsTest.java
@@ -24,7 +24,6 @@
 import shalepaddle.engine.Attempt;
 import shalepaddle.engine.Call;
 import shalepaddle.engine.Dispatcher;
-import shalepaddle.engine.Payload;
 import shalepaddle.engine.Reply;
 import shalepaddle.engine.ServerReply;
 import shalepaddle.engine.Submission;
@@ -49,7 +48,6 @@
   private final Map<String, Long> answeredAt = new LinkedHashMap<>();
   private final Map<String, Submission> submissions = new LinkedHashMap<>();
   private int taken;
-  private int released;
 
   /** Whether attempts wait for a connection. */
   private boolean noConnection;
@@ -126,7 +124,7 @@
     assertEquals(0, dispatcher.timers().size());
     assertEquals(0, dispatcher.joining().waiting());
     assertEquals(0, dispatcher.joining().open());
-    assertEquals(taken, released, "each payload is released once");
+    assertEquals(taken, engine.released, "each payload is released once");
     for (Reply reply : replies.values()) {
       if (reply instanceof Reply.Value served && served.value().refCnt() > 0) {
         served.value().release();
@@ -136,21 +134,6 @@
   }
 
   private Submission ask(String id, String type, long millis, Runnable then) {
-    Payload payload =
-        new Payload() {
-          private boolean over;
-
-          @Override
-          public ByteBuf value() {
-            return null;
-          }
-
-          @Override
-          public void release() {
-            released += over ? 0 : 1;
-            over = true;
-          }
-        };
     taken++;
     Request request =
         new Request(id, "key", type, null, millis / 1e3, 0, 0, false, type.equals("write"));
@@ -158,7 +141,7 @@
         dispatcher.submit(
             new Call(
                 request,
-                payload,
+                engine.payload(),
                 reply -> {
                   assertNull(replies.put(id, reply), id + " is answered once");
                   answeredAt.put(id, engine.millis());
--- a/engine/src/test/java/shalepaddle/node/TurnsTest.java
+++ b/engine/src/test/java/shalepaddle/node/TurnsTest.java
@@ -3,7 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.netty.buffer.ByteBuf;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -12,7 +11,6 @@
 import shalepaddle.engine.Attempt;
 import shalepaddle.engine.Call;
 import shalepaddle.engine.Dispatcher;
-import shalepaddle.engine.Payload;
 import shalepaddle.engine.Reply;
 import shalepaddle.engine.Submission;
 import shalepaddle.engine.Upstream;
@@ -26,7 +24,6 @@
   private final List<Reply> replies = new ArrayList<>();
   private final List<String> refused = new ArrayList<>();
   private final List<Long> turns = new ArrayList<>();
-  private int released;
 
   private final VirtualEngine engine =
       new VirtualEngine(
@@ -80,31 +77,16 @@
   void nothingIsLeft() {
     dispatcher.close();
     assertEquals(0, dispatcher.openRequests());
-    assertEquals(released, replies.size(), "each payload is released once");
+    assertEquals(engine.released, replies.size(), "each payload is released once");
     engine.close();
   }
 
   private Submission submit(String id, boolean write) {
-    Payload payload =
-        new Payload() {
-          private boolean over;
-
-          @Override
-          public ByteBuf value() {
-            return null;
-          }
-
-          @Override
-          public void release() {
-            released += over ? 0 : 1;
-            over = true;
-          }
-        };
     Request request = new Request(id, null, write ? "write" : "read", null, 1, 0, 0, false, write);
     return dispatcher.submit(
         new Call(
             request,
-            payload,
+            engine.payload(),
             reply -> {
               replies.add(reply);
               if (reply instanceof Reply.Refused) {
--- a/engine/src/test/java/shalepaddle/node/VirtualEngine.java
+++ b/engine/src/test/java/shalepaddle/node/VirtualEngine.java
@@ -1,5 +1,6 @@
 package shalepaddle.node;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.ManualIoEventLoop;
 import io.netty.channel.local.LocalIoHandler;
 import io.netty.util.concurrent.MockTicker;
@@ -8,6 +9,7 @@
 import java.util.concurrent.TimeUnit;
 import shalepaddle.config.NodeConfig;
 import shalepaddle.engine.Dispatcher;
+import shalepaddle.engine.Payload;
 import shalepaddle.engine.Upstream;
 import shalepaddle.joining.JoiningTuning;
 import shalepaddle.loop.Clock;
@@ -27,6 +29,9 @@
   final LoopClock clock;
   final ManualIoEventLoop loop;
 
+  /** Payloads that have been released. */
+  int released;
+
   VirtualEngine(LoopClock.Listener listener) {
     clock = new LoopClock(ticker, listener);
     loop =
@@ -97,6 +102,24 @@
     return dispatcher;
   }
 
+  /** A payload that carries nothing, and counts when it is released for the first time. */
+  Payload payload() {
+    return new Payload() {
+      private boolean over;
+
+      @Override
+      public ByteBuf value() {
+        return null;
+      }
+
+      @Override
+      public void release() {
+        released += over ? 0 : 1;
+        over = true;
+      }
+    };
+  }
+
   /** Ends the loop. */
   void close() {
     loop.shutdownGracefully(0, 0, TimeUnit.SECONDS);
