Offer cold servers an agreed share of their keys, and warm starts up without sockets

The warm-up went over Unix sockets, to which nobody comes there, and waited for its whole 4 s; no request was answered by it (Warmup.run). Nodes killed together were away for that long. - With 36 of 60 servers new, these got 10 to 30% of the sends: each node's budget for a cold server begins at none and earns 0.12 requests a second at first, so that all waited some eight seconds for their first (ServerHealth.coldRoom); 50,000 jumps in 2.5 s passed cold servers, and what was meant for them missed elsewhere, each time at another.

Now the warm-up runs on a loop of its own within the process, 150 requests instead of 600 (600 took 2 s more, and did not serve more). A cold server keeps a part of its keys that all nodes agree on, twice what the contract says it can do; the token budget stays as a backstop, is as large, and begins with a phase that is spread over the nodes.

--- a/core/src/main/java/shalepaddle/policy/MembershipFeed.java
+++ b/core/src/main/java/shalepaddle/policy/MembershipFeed.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import java.util.stream.Collectors;
 import shalepaddle.model.MembershipUpdate;
 import shalepaddle.model.ServerEntry;
 import shalepaddle.model.Settings;
@@ -41,18 +42,19 @@
         double pause = Math.min(longest, 0.25 * Math.pow(2, failures));
         callIn(now, pause * (0.5 + 0.5 * random.nextDouble()));
       }
-      case FULL, REMEMBERED -> {
-        TreeMap<Long, ServerHealth> old = new TreeMap<>(servers);
-        for (ServerEntry entry : update.entries()) {
-          old.remove(entry.id());
-          put(now, entry);
+      case FULL, REMEMBERED, CHANGES -> {
+        if (update.kind() != MembershipUpdate.Kind.CHANGES) {
+          servers
+              .keySet()
+              .retainAll(
+                  update.entries().stream().map(ServerEntry::id).collect(Collectors.toSet()));
         }
-        old.values().forEach(this::remove);
-        answered(update.kind());
-      }
-      case CHANGES -> {
         update.entries().forEach(entry -> put(now, entry));
-        answered(update.kind());
+        if (update.kind() != MembershipUpdate.Kind.REMEMBERED) {
+          subscribed = true;
+          failures = 0;
+          callAt = Double.POSITIVE_INFINITY;
+        }
       }
     }
     if (!launched) {
@@ -64,30 +66,16 @@
     }
   }
 
-  private void answered(MembershipUpdate.Kind kind) {
-    if (kind != MembershipUpdate.Kind.REMEMBERED) {
-      subscribed = true;
-      failures = 0;
-      callAt = Double.POSITIVE_INFINITY;
-    }
-  }
-
   private void put(double now, ServerEntry entry) {
-    ServerHealth server =
-        servers.computeIfAbsent(
-            entry.id(), id -> new ServerHealth(entry, now, settings.contract()));
     if (entry.state() == ServerEntry.State.GONE) {
-      remove(server);
+      servers.remove(entry.id());
     } else {
-      server.listed(entry, now);
+      servers
+          .computeIfAbsent(entry.id(), id -> new ServerHealth(entry, now, settings))
+          .listed(entry, now);
     }
   }
 
-  private void remove(ServerHealth server) {
-    server.listed = false;
-    servers.remove(server.id);
-  }
-
   private void callIn(double now, double delay) {
     callAt = now + delay;
     actions.wake(Balancer.FEED_TOKEN, delay);
--- a/core/src/main/java/shalepaddle/policy/ServerHealth.java
+++ b/core/src/main/java/shalepaddle/policy/ServerHealth.java
@@ -25,6 +25,14 @@
 
   private static final double LONGEST_PAUSE = 4;
 
+  /**
+   * What a cold server is offered, in times of what it can do by the contract: most can do more,
+   * and usual load leaves room. With less, the keys of many that start at once crowd the rest.
+   * Could do harm where usual load is near capacity: then it is twice that, of rule 4's three
+   * times.
+   */
+  private static final double COLD_SHARE = 2;
+
   /** Seconds in which what is not renewed fades to a third. */
   private static final double STRAIN_FADES = 3;
 
@@ -49,7 +57,6 @@
   private double learnedAt;
 
   private final Settings.Contract contract;
-  boolean listed = true;
   private double startedAt;
 
   /** Refused connections in a row, and when the first and the last sign of a break came. */
@@ -71,35 +78,44 @@
   /** When a connection was last in use; none is held when this is too long ago. */
   double connectedAt = Double.NEGATIVE_INFINITY;
 
+  /** With what part of a request's budget a cold server begins here. */
+  private final double phase;
+
   private double tokens;
   private double tokensAt;
 
-  ServerHealth(ServerEntry entry, double now, Settings.Contract contract) {
+  ServerHealth(ServerEntry entry, double now, Settings settings) {
     this.id = entry.id();
     this.entry = entry;
-    this.contract = contract;
-    this.startedAt = entry.startedAt() > 0 ? entry.startedAt() : Double.NEGATIVE_INFINITY;
-    this.tokensAt = now;
+    this.contract = settings.contract();
+    // Spread over the balancers: from none, many would wait long and then send their first
+    // together.
+    double part = (double) settings.number() / Math.max(1, settings.instances());
+    this.phase = (SlotTable.fraction(id) + part) % 1;
     this.learnedAt = now;
+    coldSince(now, entry.startedAt() > 0 ? entry.startedAt() : Double.NEGATIVE_INFINITY);
+  }
+
+  private void coldSince(double now, double at) {
+    startedAt = at;
+    tokens = phase;
+    tokensAt = now;
   }
 
   /** The list has news of this server; a new start means an empty cache and a cold machine. */
   void listed(ServerEntry news, double now) {
     if (news.startedAt() > entry.startedAt()) {
-      startedAt = Math.max(startedAt, news.startedAt());
+      coldSince(now, Math.max(startedAt, news.startedAt()));
       refused = 0;
       useless = false;
       trialOut = false;
-      tokens = 0;
-      tokensAt = now;
     }
     entry = news;
-    listed = true;
   }
 
   /** Rule 3: only servers that the list calls ready get anything new. */
   boolean ready() {
-    return listed && entry.state() == ServerEntry.State.READY;
+    return entry.state() == ServerEntry.State.READY;
   }
 
   boolean suspect() {
@@ -151,9 +167,12 @@
     fetchedAt = now;
   }
 
-  /** Whether the key is among those that the server keeps while it is offered but a share. */
+  /**
+   * Whether the key is among those that the server keeps while it is offered but a share, for its
+   * strain or since it is cold: all balancers then let the same keys wait for it to warm.
+   */
   boolean keeps(double now, long keyHash, double most) {
-    double kept = share(now) / most;
+    double kept = share(now) / most * Math.min(1, COLD_SHARE * warmth(now));
     return kept >= 1 || SlotTable.fraction(keyHash ^ SlotTable.mix(id)) < kept;
   }
 
@@ -168,12 +187,13 @@
   }
 
   /**
-   * Rule 4: whether a cold server's budget has room for one more request. The rate is at which warm
-   * servers of like weight answer this balancer, times what the cold one can do by now.
+   * Rule 4: whether a cold server's budget has room for one more request, as a backstop where few
+   * keys draw much. The rate is at which warm servers of like weight answer this balancer, times
+   * what the cold one is offered by now.
    */
   boolean coldRoom(double now, double warmRate) {
-    double rate = warmRate * warmth(now);
-    tokens = Math.min(Math.max(1, rate * 0.25), tokens + (now - tokensAt) * rate);
+    double rate = COLD_SHARE * warmRate * warmth(now);
+    tokens = Math.min(Math.max(1, rate * 0.5), tokens + (now - tokensAt) * rate);
     tokensAt = now;
     return tokens >= 1;
   }
@@ -213,9 +233,7 @@
     } else if (result.fromServer()) {
       if (refused >= SUSPECT_AFTER && held && now - outcome.elapsed() > refusedAt) {
         // It was down and answers what was sent since: before the list tells, it is new and cold.
-        startedAt = Math.max(startedAt, now);
-        tokens = 0;
-        tokensAt = now;
+        coldSince(now, Math.max(startedAt, now));
       }
       connectedAt = now;
       refused = 0;
--- a/core/src/test/java/shalepaddle/policy/FailuresTest.java
+++ b/core/src/test/java/shalepaddle/policy/FailuresTest.java
@@ -24,7 +24,7 @@
   private final Balancer balancer = new Balancer(SETTINGS, 1, actions);
 
   private static ServerHealth server(long id) {
-    return new ServerHealth(Rig.server(id), 100, SETTINGS.contract());
+    return new ServerHealth(Rig.server(id), 100, SETTINGS);
   }
 
   private static PendingRequest pending(long serial, String key) {
--- /dev/null
+++ b/core/src/test/java/shalepaddle/policy/FleetTest.java
@@ -0,0 +1,123 @@
+package shalepaddle.policy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import shalepaddle.model.MembershipUpdate;
+import shalepaddle.model.Outcome;
+import shalepaddle.model.ServerEntry;
+
+/** Many balancers before many servers, none of which sees much: counts over all of them. */
+class FleetTest {
+  private static final int NODES = 14;
+  private static final int SERVERS = 60;
+
+  /** Servers that start together: these at a time. */
+  private static final int NEW = 36;
+
+  private final List<Balancer> nodes = new ArrayList<>();
+  private final List<Rig.Recorder> actions = new ArrayList<>();
+  private final Random random = new Random(7);
+
+  /** Requests to each server in each second, by server and second. */
+  private final int[][] sends = new int[SERVERS + 1][60];
+
+  /** Where the keys went, by key. */
+  private final Map<Integer, Set<Long>> homes = new HashMap<>();
+
+  private int serial;
+
+  private FleetTest start(double now) {
+    for (int number = 0; number < NODES; number++) {
+      Rig.Recorder recorder = new Rig.Recorder();
+      actions.add(recorder);
+      nodes.add(new Balancer(Rig.settings(number, NODES, false, 4, true), number, recorder));
+      nodes.get(number).membership(now, Rig.fleet(SERVERS));
+    }
+    return this;
+  }
+
+  /** One request a second to each server in the mean from each node, answered at once. */
+  private void play(double from, double until, double started, boolean count) {
+    double now = from;
+    while (now < until) {
+      now += 1.0 / (NODES * SERVERS);
+      int number = random.nextInt(NODES);
+      int key = random.nextInt(3000);
+      String id = "r" + serial++;
+      Rig.Recorder recorder = actions.get(number);
+      recorder.acts.clear();
+      nodes.get(number).request(now, Rig.request(id, "k" + key, "safe", 1));
+      for (Rig.Act act : recorder.of("send")) {
+        if (count) {
+          sends[(int) act.number()][(int) (now - started)]++;
+          homes.computeIfAbsent(key, k -> new HashSet<>()).add(act.number());
+        }
+        nodes.get(number).outcome(now, Rig.outcome(id, 0, act.number(), Outcome.Result.OK));
+      }
+    }
+  }
+
+  /**
+   * Before, each node saved up for its first request to a cold server, for eight seconds; what was
+   * meant for them all went to the others meanwhile, each time elsewhere.
+   */
+  @Test
+  void manyColdServersAreOfferedWhatTheyCanDoFromTheFirstSecondOn() {
+    start(100).play(100, 110, 100, false);
+    List<ServerEntry> started = new ArrayList<>();
+    for (long id = 1; id <= NEW; id++) {
+      started.add(Rig.server(id, ServerEntry.State.READY, 110));
+    }
+    nodes.forEach(node -> node.membership(110, Rig.list(MembershipUpdate.Kind.CHANGES, started)));
+    play(110, 114, 110, true);
+
+    // The contract's least: a tenth of a warm server's 14 requests a second, a twentieth more each
+    // second; offered is twice that, and rule 4 ends at three times what a full server can do.
+    double least = 0;
+    for (int second = 0; second < 4; second++) {
+      least += NODES * (0.1 + 0.9 * (second + 0.5) / 20);
+    }
+    int all = 0;
+    for (int id = 1; id <= NEW; id++) {
+      int got = Arrays.stream(sends[id]).sum();
+      all += got;
+      assertTrue(got <= 3 * least + 3, "server " + id + " got " + got + " of " + least);
+    }
+    assertTrue(all > 1.3 * NEW * least, all + " of " + NEW * least);
+    assertTrue(all < 2.2 * NEW * least, all + " of " + NEW * least);
+  }
+
+  @Test
+  void allNodesKeepTheSameKeysAtColdServers() {
+    start(100).play(100, 110, 100, false);
+    nodes.forEach(
+        node ->
+            node.membership(
+                110,
+                Rig.list(
+                    MembershipUpdate.Kind.CHANGES,
+                    List.of(Rig.server(5, ServerEntry.State.READY, 110)))));
+    play(110, 116, 110, true);
+
+    Set<Integer> atHome = new HashSet<>();
+    homes.forEach(
+        (key, servers) -> {
+          if (servers.contains(5L)) {
+            atHome.add(key);
+          }
+        });
+    assertTrue(atHome.size() > 10, "keys at the cold server: " + atHome.size());
+    // One other at most: the one where a key stays until the server is warm enough for it.
+    assertEquals(List.of(), atHome.stream().filter(key -> homes.get(key).size() > 2).toList());
+  }
+}
--- a/core/src/test/java/shalepaddle/policy/JumpsTest.java
+++ b/core/src/test/java/shalepaddle/policy/JumpsTest.java
@@ -27,7 +27,7 @@
     SlotTable table = new SlotTable();
     List<ServerHealth> servers = new ArrayList<>();
     for (long id = 1; id <= 10; id++) {
-      servers.add(new ServerHealth(Rig.server(id), 100, Rig.settings(false, 4, true).contract()));
+      servers.add(new ServerHealth(Rig.server(id), 100, Rig.settings(false, 4, true)));
     }
     table.rebuild(servers, false);
     long hash = SlotTable.hash("k");
--- a/core/src/test/java/shalepaddle/policy/PausesTest.java
+++ b/core/src/test/java/shalepaddle/policy/PausesTest.java
@@ -25,7 +25,7 @@
   @EnumSource(names = {"TIMEOUT", "CONNECT_FAILED"})
   void aServerIsNotSuspectForSilenceThatNobodyListenedTo(Outcome.Result result) {
     for (double unheard : new double[] {0, 0.98}) {
-      ServerHealth server = new ServerHealth(Rig.server(1), 100, SETTINGS.contract());
+      ServerHealth server = new ServerHealth(Rig.server(1), 100, SETTINGS);
       for (int i = 0; i < 10; i++) {
         server.sent(101 + 2 * i, false);
         server.ended(102 + 2 * i, ended(result, 1, unheard), 60, true);
@@ -36,7 +36,7 @@
 
   @Test
   void aHungServerIsStillFoundWhereTheNodeRunsForATenthOfTheTime() {
-    ServerHealth server = new ServerHealth(Rig.server(1), 100, SETTINGS.contract());
+    ServerHealth server = new ServerHealth(Rig.server(1), 100, SETTINGS);
     int timeOuts = 0;
     while (!server.suspect() && timeOuts < 100) {
       server.sent(101 + timeOuts, false);
--- a/core/src/test/java/shalepaddle/policy/Rig.java
+++ b/core/src/test/java/shalepaddle/policy/Rig.java
@@ -60,12 +60,18 @@
   private Rig() {}
 
   static Settings settings(boolean asks, int maxAttempts, boolean parallel) {
+    return settings(0, 4, asks, maxAttempts, parallel);
+  }
+
+  /** Those of one of so many instances. */
+  static Settings settings(
+      int number, int instances, boolean asks, int maxAttempts, boolean parallel) {
     return new Settings(
-        "a",
+        number % 2 == 0 ? "a" : "b",
         List.of("a", "b"),
         List.of("box"),
-        0,
-        4,
+        number,
+        instances,
         asks,
         true,
         Settings.Weights.NONE,
--- a/core/src/test/java/shalepaddle/policy/SlotTableTest.java
+++ b/core/src/test/java/shalepaddle/policy/SlotTableTest.java
@@ -12,7 +12,7 @@
 
 class SlotTableTest {
   private static ServerHealth server(long id) {
-    return new ServerHealth(Rig.server(id), 0, Rig.settings(false, 4, true).contract());
+    return new ServerHealth(Rig.server(id), 0, Rig.settings(false, 4, true));
   }
 
   private static long[] homes(List<ServerHealth> servers) {
--- a/daemon/src/test/java/shalepaddle/daemon/ArchitectureTest.java
+++ b/daemon/src/test/java/shalepaddle/daemon/ArchitectureTest.java
@@ -50,6 +50,18 @@
         .check(ALL);
   }
 
+  /** A platform may withhold sockets, files or ports that a start would wait for. */
+  @Test
+  void warmingUpOpensNoSocketAndNoFile() {
+    noClasses()
+        .that()
+        .haveNameMatching("shalepaddle\\.node\\.Warmup.*")
+        .should()
+        .dependOnClassesThat()
+        .resideInAnyPackage("java.net", "java.nio.file", "io.netty.channel.socket..")
+        .check(ALL);
+  }
+
   @Test
   void decisionsReadNoClock() {
     for (String clock : new String[] {"nanoTime", "currentTimeMillis"}) {
--- a/engine/src/main/java/shalepaddle/node/Node.java
+++ b/engine/src/main/java/shalepaddle/node/Node.java
@@ -165,7 +165,7 @@
 
   /** Gets ready for requests. */
   private void prepare() throws InterruptedException {
-    Warmup.run(config, loop, clock, transport, log);
+    Warmup.run(config, transport, log);
     loop.submit(balancer::start).await();
   }
 
--- a/engine/src/main/java/shalepaddle/node/Warmup.java
+++ b/engine/src/main/java/shalepaddle/node/Warmup.java
@@ -11,14 +11,14 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioDomainSocketChannel;
-import io.netty.channel.socket.nio.NioServerDomainSocketChannel;
-import java.io.IOException;
-import java.net.UnixDomainSocketAddress;
+import io.netty.channel.local.LocalAddress;
+import io.netty.channel.local.LocalChannel;
+import io.netty.channel.local.LocalIoHandler;
+import io.netty.channel.local.LocalServerChannel;
+import io.netty.util.concurrent.Ticker;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
@@ -35,6 +35,7 @@
 import shalepaddle.loop.Clock;
 import shalepaddle.loop.Log;
 import shalepaddle.loop.LoopClock;
+import shalepaddle.loop.WatchedIoHandler;
 import shalepaddle.membership.MemberList;
 import shalepaddle.membership.MemberSource;
 import shalepaddle.model.MembershipUpdate;
@@ -47,126 +48,123 @@
 import shalepaddle.upstream.ServerPools;
 
 /**
- * Takes requests through the node's own code before clients come, over private sockets in the file
- * system. Guards against a start in which a part of a core both compiles and serves: what clients
- * sent then timed out, and their new connections cost more than their requests.
+ * Takes requests through the node's own code before clients come, within the process and on a loop
+ * of its own: it needs no socket, file or port, so that no platform can withhold what it waits for.
+ * Guards against a start in which a part of a core both compiles and serves: what clients sent then
+ * timed out, and their new connections cost more than their requests. The system calls of sockets
+ * stay unpractised.
  */
 final class Warmup {
   /**
-   * Enough for the compiler to take the most of a request's path: it begins at 200 calls. More of
-   * them only keep a node that was restarted from its clients.
+   * Enough for classes to be loaded and for the compiler to take what each request runs often: it
+   * begins at 200 calls. More of them only keep a node that was restarted from its clients: where
+   * many were, those are waiting for anybody at all.
    */
-  private static final int REQUESTS = 600;
+  static final int REQUESTS = 150;
 
   private static final int AT_ONCE = 4;
   private static final int SERVERS = 4;
 
   /** A node must not be kept from serving, whatever happens here. */
-  private static final long MAX_MILLIS = 4000;
+  private static final long MAX_MILLIS = 1500;
 
   private Warmup() {}
 
-  static void run(NodeConfig config, EventLoop loop, LoopClock clock, Transport transport, Log log)
-      throws InterruptedException {
-    String folder = System.getenv("TMPDIR");
-    List<Channel> channels = new ArrayList<>();
-    List<Path> files = new ArrayList<>();
+  /** Returns how many requests were answered. */
+  static int run(NodeConfig config, Transport transport, Log log) throws InterruptedException {
+    LoopClock clock = new LoopClock(Ticker.systemTicker(), new Unwatched(log));
+    var group =
+        new MultiThreadIoEventLoopGroup(
+            1, WatchedIoHandler.factory(LocalIoHandler.newFactory(), clock));
     try {
-      for (int i = 0; i < 2; i++) {
-        Path file =
-            folder == null
-                ? Files.createTempFile("warm", "")
-                : Files.createTempFile(Path.of(folder), "warm", "");
-        Files.delete(file);
-        files.add(file);
-      }
-      var caches = UnixDomainSocketAddress.of(files.get(0));
-      var front = UnixDomainSocketAddress.of(files.get(1));
-      ByteBufAllocator allocator = transport.allocator();
-      channels.add(listen(loop, allocator, caches, new Cache(config)));
-      Clock time = new Clock(loop.ticker(), System.currentTimeMillis());
-      Dispatcher dispatcher =
-          new Dispatcher(
-              pushed(config.settings()),
-              config.seed(),
-              loop,
-              clock,
-              time,
-              log,
-              calm(config),
-              JoiningTuning.OFF);
-      ServerPools pools = pools(dispatcher, loop, allocator);
-      loop.submit(() -> dispatcher.start(pools, MemberSource.FIXED)).await();
-      List<MemberList.Member> members = new ArrayList<>();
-      for (int i = 0; i < SERVERS; i++) {
-        members.add(
-            new MemberList.Member(
-                new ServerEntry(i, config.settings().zone(), "", 0, ServerEntry.State.READY, 1, 0),
-                caches));
-      }
-      loop.submit(
-              () -> {
-                MemberList list = new MemberList(true, 1, members);
-                pools.update(list, time.now());
-                dispatcher.membership(list.update(MembershipUpdate.Kind.FULL));
-              })
-          .await();
-      MemoryBudget values = new MemoryBudget(1 << 20);
-      MetaClientCodec codec = new MetaClientCodec(values, config.settings(), Gate.OPEN);
-      channels.add(
-          listen(
-              loop,
-              allocator,
-              front,
-              new ClientFront(dispatcher, codec, AT_ONCE, () -> Posture.CALM)));
-      Client client = new Client(config.settings());
-      channels.add(
-          new Bootstrap()
-              .group(loop)
-              .channel(NioDomainSocketChannel.class)
-              .option(ChannelOption.ALLOCATOR, allocator)
-              .handler(client)
-              .connect(front)
-              .await()
-              .channel());
-      client.done.await(MAX_MILLIS, TimeUnit.MILLISECONDS);
-      // Ends the connections to its servers, which would hold descriptors for good, and its timers.
-      loop.submit(
-              () -> {
-                dispatcher.close();
-                pools.close();
-              })
-          .await();
-    } catch (IOException e) {
-      log.line("no warm-up: " + e.getMessage());
+      return run(config, group.next(), clock, transport.allocator(), log);
     } finally {
-      for (Channel channel : channels) {
-        channel.close().await();
-      }
-      for (Path file : files) {
-        file.toFile().delete();
-      }
+      // Its connections end with it; nobody waits for that.
+      group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
     }
   }
 
-  private static Channel listen(
-      EventLoop loop,
-      ByteBufAllocator allocator,
-      UnixDomainSocketAddress address,
-      ChannelHandler setup)
-      throws InterruptedException, IOException {
-    var bound =
-        new ServerBootstrap()
-            .group(loop)
-            .channel(NioServerDomainSocketChannel.class)
-            .childOption(ChannelOption.ALLOCATOR, allocator)
-            .childHandler(setup)
-            .bind(address)
-            .await();
-    if (!bound.isSuccess()) {
-      throw new IOException(bound.cause());
+  private static int run(
+      NodeConfig config, EventLoop loop, LoopClock clock, ByteBufAllocator allocator, Log log)
+      throws InterruptedException {
+    // Unique in the process: several nodes may start in it at once.
+    var caches = new LocalAddress(Cache.class);
+    var front = new LocalAddress(ClientFront.class);
+    listen(loop, allocator, caches, new Cache(config));
+    Clock time = new Clock(loop.ticker(), System.currentTimeMillis());
+    Dispatcher dispatcher =
+        new Dispatcher(
+            pushed(config.settings()),
+            config.seed(),
+            loop,
+            clock,
+            time,
+            log,
+            calm(config),
+            JoiningTuning.OFF);
+    ServerPools pools = pools(dispatcher, loop, allocator);
+    loop.submit(() -> dispatcher.start(pools, MemberSource.FIXED)).await();
+    List<MemberList.Member> members = new ArrayList<>();
+    for (int i = 0; i < SERVERS; i++) {
+      members.add(
+          new MemberList.Member(
+              new ServerEntry(i, config.settings().zone(), "", 0, ServerEntry.State.READY, 1, 0),
+              caches));
+    }
+    loop.submit(
+            () -> {
+              MemberList list = new MemberList(true, 1, members);
+              pools.update(list, time.now());
+              dispatcher.membership(list.update(MembershipUpdate.Kind.FULL));
+            })
+        .await();
+    MemoryBudget values = new MemoryBudget(1 << 20);
+    MetaClientCodec codec = new MetaClientCodec(values, config.settings(), Gate.OPEN);
+    listen(loop, allocator, front, new ClientFront(dispatcher, codec, AT_ONCE, () -> Posture.CALM));
+    Client client = new Client(config.settings());
+    new Bootstrap()
+        .group(loop)
+        .channel(LocalChannel.class)
+        .option(ChannelOption.ALLOCATOR, allocator)
+        .handler(client)
+        .connect(front)
+        .await();
+    if (!client.done.await(MAX_MILLIS, TimeUnit.MILLISECONDS)) {
+      log.line("the warm-up was cut short");
+    }
+    // Its timers and buffers end with it.
+    loop.submit(
+            () -> {
+              dispatcher.close();
+              pools.close();
+            })
+        .await();
+    return client.answered;
+  }
+
+  private static void listen(
+      EventLoop loop, ByteBufAllocator allocator, LocalAddress address, ChannelHandler setup)
+      throws InterruptedException {
+    new ServerBootstrap()
+        .group(loop)
+        .channel(LocalServerChannel.class)
+        .childOption(ChannelOption.ALLOCATOR, allocator)
+        .childHandler(setup)
+        .bind(address)
+        .await();
+  }
+
+  /** Pauses of a loop that compiles harm nobody. */
+  private record Unwatched(Log log) implements LoopClock.Listener {
+    @Override
+    public void paused(long nanos) {
+      // Nobody waits.
+    }
+
+    @Override
+    public void failed(RuntimeException cause) {
+      log.failure("warm-up", cause);
     }
-    return bound.channel();
   }
 
   /** Sheds nothing: a loop that compiles is late, and nobody is there to be refused. */
@@ -201,7 +199,7 @@
     Bootstrap bootstrap =
         new Bootstrap()
             .group(loop)
-            .channel(NioDomainSocketChannel.class)
+            .channel(LocalChannel.class)
             .option(ChannelOption.ALLOCATOR, allocator);
     ServerPool.Limits limits =
         new ServerPool.Limits(
@@ -244,7 +242,7 @@
     private final CountDownLatch done = new CountDownLatch(1);
     private final List<Settings.ServiceClass> services;
     private int sent;
-    private int answered;
+    private volatile int answered;
 
     Client(Settings settings) {
       services = settings.services();
