Let the warm-up's peers speak in a turn of their own, so that it never stalls

Seen in a fresh clone: WarmupTest failed, 33 of 150 requests answered in 1.5 s, and 100 starts of the tests were cut short, each after exactly 33. Cause: client, node and servers share a loop, where a local connection is read within the write at its other end, so that the node was called in the midst of its own call (Warmup's Client and Cache). Checked by moving the peers to a second loop: 40 of 40 whole; not kept, as two loops do not end in order.

--- a/engine/src/main/java/shalepaddle/node/Warmup.java
+++ b/engine/src/main/java/shalepaddle/node/Warmup.java
@@ -207,7 +207,16 @@
     return new ServerPools(bootstrap, new MetaServerCodec(), limits, dispatcher);
   }
 
-  /** Answers every command at once, as a cache server that holds everything. */
+  /**
+   * Sends what a client or server has to say, once the present call is over. Both ends of a
+   * connection are on one loop, where a write is read within it: the node would be called in the
+   * midst of a call of its own, as no socket calls it, and stalls.
+   */
+  private static void later(ChannelHandlerContext ctx, ByteBuf bytes) {
+    ctx.executor().execute(() -> ctx.writeAndFlush(bytes));
+  }
+
+  /** Answers every command, as a cache server that holds everything. */
   private static final class Cache extends ChannelInitializer<Channel> {
     private final MetaClientCodec codec;
 
@@ -231,7 +240,7 @@
                       reply,
                       write ? "HD O" + id + " c1\r\n" : "VA 8 O" + id + " h1\r\nwarm-up!\r\n");
                   command.release();
-                  ctx.writeAndFlush(reply);
+                  later(ctx, reply);
                 }
               });
     }
@@ -262,8 +271,7 @@
       String key = "warm" + sent % 100;
       String command = write ? "ms " + key + " 1" + flags + "x\r\n" : "mg " + key + " v" + flags;
       sent++;
-      ctx.writeAndFlush(
-          ctx.alloc().buffer().writeBytes(command.getBytes(StandardCharsets.US_ASCII)));
+      later(ctx, ctx.alloc().buffer().writeBytes(command.getBytes(StandardCharsets.US_ASCII)));
     }
 
     @Override
