--- a/core/src/main/java/shalepaddle/model/MembershipUpdate.java
+++ b/core/src/main/java/shalepaddle/model/MembershipUpdate.java
@@ -1,6 +1,8 @@
 package shalepaddle.model;
 
 import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * News of the list of servers.
@@ -11,6 +13,11 @@
  */
 public record MembershipUpdate(Kind kind, long version, List<ServerEntry> entries) {
 
+  /** The servers that it names. */
+  public Set<Long> ids() {
+    return entries.stream().map(ServerEntry::id).collect(Collectors.toUnmodifiableSet());
+  }
+
   /** What an update holds. */
   public enum Kind {
     /** The entries that changed. */
--- a/core/src/main/java/shalepaddle/model/ServerEntry.java
+++ b/core/src/main/java/shalepaddle/model/ServerEntry.java
@@ -14,6 +14,11 @@
 public record ServerEntry(
     long id, String zone, String kind, int cell, State state, double weight, double startedAt) {
 
+  /** The same line, with another time of its last start. */
+  public ServerEntry startingAt(double time) {
+    return new ServerEntry(id, zone, kind, cell, state, weight, time);
+  }
+
   /** What the list says of a server. */
   public enum State {
     READY,
--- a/core/src/main/java/shalepaddle/model/Settings.java
+++ b/core/src/main/java/shalepaddle/model/Settings.java
@@ -183,9 +183,16 @@
       double repeatWindow,
       boolean streamed) {
 
-    /** A class that the settings do not name: nothing is known of what repeating it does. */
-    public static ServiceClass unknown(String name, double budget) {
-      return new ServiceClass(name, budget, 0, budget, 1, 0, Effect.UNSAFE, Group.CELL, 0, false);
+    /**
+     * The class if there is one, else one for this request, that the settings do not name: nothing
+     * is known of what repeating it does.
+     */
+    public static ServiceClass orUnknown(ServiceClass known, Request request) {
+      double budget = request.budget();
+      return known != null
+          ? known
+          : new ServiceClass(
+              request.serviceClass(), budget, 0, budget, 1, 0, Effect.UNSAFE, Group.CELL, 0, false);
     }
   }
 
--- a/core/src/main/java/shalepaddle/overload/Admission.java
+++ b/core/src/main/java/shalepaddle/overload/Admission.java
@@ -27,11 +27,11 @@
   private final Tuning tuning;
   private final LoadLimit limit;
   private final SplittableRandom random;
-  private final double[] offeredRates;
-  private final double[] passing;
-  private final int[] offered;
-  private final long[] offeredInAll;
-  private final long[] refusedInAll;
+  private double[] offeredRates;
+  private double[] passing;
+  private int[] offered;
+  private long[] offeredInAll;
+  private long[] refusedInAll;
   private long begunAt;
   private boolean begun;
   private boolean known;
@@ -41,14 +41,24 @@
 
   /** Admits all, until the event loop falls behind. */
   public Admission(Tuning tuning, Tiers tiers, long seed) {
+    this(tuning, seed);
+    retier(tiers.count());
+  }
+
+  Admission(Tuning tuning, long seed) {
     this.tuning = tuning;
     limit = new LoadLimit(tuning.target());
     random = new SplittableRandom(seed);
-    offeredRates = new double[tiers.count()];
-    passing = new double[tiers.count()];
-    offered = new int[tiers.count()];
-    offeredInAll = new long[tiers.count()];
-    refusedInAll = new long[tiers.count()];
+  }
+
+  /** Begins with so many tiers, none of which is known; the limit on all together is kept. */
+  void retier(int count) {
+    offeredRates = new double[count];
+    passing = new double[count];
+    offered = new int[count];
+    offeredInAll = new long[count];
+    refusedInAll = new long[count];
+    known = false;
     Arrays.fill(passing, 1);
   }
 
--- a/core/src/main/java/shalepaddle/overload/OverloadControl.java
+++ b/core/src/main/java/shalepaddle/overload/OverloadControl.java
@@ -20,12 +20,12 @@
   /** The answer to a request that is admitted. */
   public static final long ADMITTED = -1;
 
-  private final Settings settings;
+  private Settings settings;
   private final Tuning tuning;
-  private final Tiers tiers;
+  private Tiers tiers;
   private final OverloadMeter meter;
   private final Admission admission;
-  private final TenantShares shares;
+  private TenantShares shares;
   private final RepeatGuess guess = new RepeatGuess();
   private Posture posture = Posture.CALM;
   private double stood;
@@ -41,12 +41,22 @@
    */
   public OverloadControl(
       Settings settings, Tuning tuning, long seed, OverloadMeter.Listener listener) {
-    this.settings = settings;
     this.tuning = tuning;
-    tiers = new Tiers(settings.services(), settings.overShareWorth());
-    admission = new Admission(tuning, tiers, seed);
-    shares = new TenantShares(settings.tenants(), settings.instances());
+    admission = new Admission(tuning, seed);
     meter = new OverloadMeter(listener);
+    retune(settings);
+  }
+
+  /**
+   * From now on these classes and tenants hold. The limit on all requests together is kept, as what
+   * the process can do is the same; how it is dealt out is learned anew within some intervals. An
+   * {@link #intake} that was made before goes by the old tiers.
+   */
+  public void retune(Settings next) {
+    settings = next;
+    tiers = new Tiers(next.services(), next.overShareWorth());
+    admission.retier(tiers.count());
+    shares = new TenantShares(next.tenants(), next.instances());
   }
 
   /** A queue for what was admitted and waits for its turn. */
@@ -102,7 +112,8 @@
   /**
    * A request has come.
    *
-   * @param serviceClass the place of its class in the settings
+   * @param serviceClass the place of its class in the settings; one past the last has been dropped
+   *     and is admitted, for the moment in which its clients hear of that
    * @param tenant the place of its tenant there, -1 for none that is known
    * @param subject a hash of its key
    * @param marked whether its client marked it as a repeat
@@ -110,6 +121,9 @@
    *     advice
    */
   public long ask(int serviceClass, int tenant, long subject, boolean marked, long now) {
+    if (serviceClass >= settings.services().size()) {
+      return ADMITTED;
+    }
     boolean pastShare = shares.pastShare(tenant, now);
     if (!admission.limited()) {
       // Counted, and a repeat is of no matter yet: nothing was refused here.
--- a/core/src/main/java/shalepaddle/policy/Balancer.java
+++ b/core/src/main/java/shalepaddle/policy/Balancer.java
@@ -24,10 +24,7 @@
   /** Jumps tried before giving the ordinary path up: each finds one of many servers. */
   private static final int MAX_JUMPS = 64;
 
-  /**
-   * Further attempts earned by each answer, and how many may be saved up. Where everything fails,
-   * retries would multiply the load that makes it fail; a tenth lets single failures be mended.
-   */
+  /** Further attempts that an answer earns: where all fails, retries would multiply the load. */
   private static final double RETRY_SHARE = 0.1;
 
   private static final double RETRY_BURST = 10;
@@ -36,9 +33,8 @@
   private static final double FAIR_PART_OF_AIM = 0.4;
 
   /**
-   * What a zone's own copy of a key must save to be worth its misses: sightings there, in the
-   * heat's window, times the price of crossing; and jumps for each zone and home to look for a
-   * server.
+   * What a zone's own copy of a key must save to be worth its misses, sightings there times the
+   * price of crossing; and jumps for each zone and home to look for a server.
    */
   private static final double LOCAL_SIGHTINGS = 0.15;
 
@@ -59,7 +55,7 @@
   /** Seconds for which connections are closed after use: as long as a fleet keeps its size. */
   private static final double THRIFT = 300;
 
-  private final Settings settings;
+  private Settings settings;
   private final Actions actions;
   private final SplittableRandom random;
   private final MembershipFeed feed;
@@ -91,23 +87,45 @@
 
   /** A balancer that knows nothing yet. */
   public Balancer(Settings settings, long seed, Actions actions) {
-    this.settings = settings;
     this.actions = actions;
     this.random = new SplittableRandom(seed);
     this.feed = new MembershipFeed(settings, actions, random.split());
-    settings.services().forEach(service -> classes.put(service.name(), service));
+    retune(settings);
+  }
+
+  /** New requests follow these; open ones, and those of dropped classes, keep what was. */
+  public void retune(Settings next) {
+    settings = next;
+    feed.settings = next;
+    next.services().forEach(service -> classes.put(service.name(), service));
   }
 
   /** News of the list of servers. */
   public void membership(double now, MembershipUpdate update) {
     feed.apply(now, update);
+    place();
+  }
+
+  /** An operator leaves a server out until it is put back, whatever the list says meanwhile. */
+  public void exclude(double now, long server, boolean out) {
+    feed.exclude(now, server, out);
+    place();
+  }
+
+  /** How many servers are listed, or only those that get nothing, by hand or for failures. */
+  public int listed(boolean avoided) {
+    var all = feed.servers.values().stream();
+    return (int) all.filter(s -> !avoided || feed.excluded(s) || !panic && s.suspect()).count();
+  }
+
+  private void place() {
     String originKind = settings.cache().originKind();
     origins = feed.ready().stream().filter(s -> s.entry.kind().equals(originKind)).toList();
     List<ServerHealth> caches = new ArrayList<>(feed.ready());
     caches.removeAll(origins);
     totalWeight = caches.stream().mapToDouble(this::weight).sum();
     boolean weighted = settings.weights().lasting();
-    if (!caches.equals(ready) || (weighted && update.kind() != MembershipUpdate.Kind.FAILED)) {
+    if (weighted || !caches.equals(ready)) {
       slots.rebuild(caches, weighted);
     }
     ready = caches;
@@ -115,10 +133,9 @@
   }
 
   /**
-   * Leaves no server out while more than half would be. Guards against signs of failure that reach
-   * this balancer from many servers at once, whose cause is then more likely shared, or its own,
-   * and against the load of many that falls on few. Could do harm where most are really down: each
-   * request then asks some of those first, which costs it a refused connection or a time-out.
+   * Leaves no server out for its failures while more than half would be: the cause is then more
+   * likely shared, or this balancer's own, and the load of many would fall on few. Harms where most
+   * are really down: each request then asks some of those first.
    */
   private void countOut() {
     panic = 2 * ready.stream().filter(ServerHealth::suspect).count() > ready.size();
@@ -130,15 +147,11 @@
 
   /** A client's request. */
   public void request(double now, Request request) {
-    Settings.ServiceClass type = classes.get(request.serviceClass());
-    if (type == null) {
-      type = Settings.ServiceClass.unknown(request.serviceClass(), request.budget());
-    }
+    Settings.ServiceClass type =
+        Settings.ServiceClass.orUnknown(classes.get(request.serviceClass()), request);
     everySecond(now);
     requests++;
-    String subject = request.key() != null ? request.key() : request.id();
-    PendingRequest p =
-        new PendingRequest(request, type, SlotTable.hash(subject), serials += 2, now);
+    PendingRequest p = new PendingRequest(request, type, settings.limits(), serials += 2, now);
     pending.put(request.id(), p);
     bySerial.put(p.serial, p);
     if (request.key() != null) {
@@ -162,10 +175,9 @@
   }
 
   /**
-   * Gives a hot key several homes, the first owners of its own sequence. Guards against the key
-   * that outgrows one server while each balancer sees too little of it to reach a cap: a key's
-   * share of this balancer's requests is about its share of everybody's. Where crossing zones is
-   * priced, a key that its zone asks for often, and any write, goes to owners in the own zone.
+   * Gives a hot key several homes, the first owners of its own sequence: it may outgrow one server
+   * while each balancer sees too little of it to reach a cap. Where crossing zones is priced, a key
+   * that its zone asks for often, and any write, goes to owners in the own zone.
    */
   private void shareOut(double now, PendingRequest p) {
     boolean write = p.request.write();
@@ -191,10 +203,14 @@
     if (!settings.cache().aside() && p.request.key() != null && !p.request.write()) {
       long pair = OriginGuard.pair(p, target);
       if (guard.expectsMiss(now, pair)) {
-        boolean follows = !p.impatient && guard.follow(pair, p);
-        if (follows || guard.full(now)) {
-          if (!p.impatient && (follows || !guard.crowded())) {
-            hold(now, p, follows);
+        if (!p.impatient && guard.follow(pair, p)) {
+          hold(now, p);
+          return;
+        }
+        if (guard.full(now)) {
+          if (!p.impatient && !guard.crowded()) {
+            guard.park(p);
+            hold(now, p);
           }
           return;
         }
@@ -205,10 +221,7 @@
   }
 
   /** Holds a request for a fetch, for at most half of the time in which its answer is wanted. */
-  private void hold(double now, PendingRequest p, boolean follows) {
-    if (!follows) {
-      guard.park(p);
-    }
+  private void hold(double now, PendingRequest p) {
     p.waiting = true;
     actions.wake(p.serial + HOLD, Math.max(0, p.arrived + p.type.aim() / 2 - now));
   }
@@ -266,9 +279,7 @@
         return null;
       }
       boolean remote = jump < p.localJumps && !server.entry.zone().equals(settings.zone());
-      if (remote
-          || !p.maySend(server, now, settings.limits())
-          || p.tries.stream().anyMatch(t -> t.server == server)) {
+      if (remote || !p.maySend(server, now) || p.tries.stream().anyMatch(t -> t.server == server)) {
         continue;
       }
       if (!panic && server.suspect()) {
@@ -309,7 +320,7 @@
     ServerHealth best = null;
     for (ServerHealth server : among) {
       if ((best == null || server.inFlight < best.inFlight)
-          && p.maySend(server, now, settings.limits())
+          && p.maySend(server, now)
           && (panic || !server.suspect() || server.trialDue(now))
           && !coldFull(now, server)) {
         best = server;
@@ -335,10 +346,7 @@
     over(p);
   }
 
-  /**
-   * Seconds for which a refused client should stay away, 0 for no advice: until what is open is
-   * answered at the present rate. Guards against clients that come back at once, or together.
-   */
+  /** Seconds until what is open is answered, 0 for no advice: who is refused stays away so long. */
   private double advice() {
     if (!settings.limits().advisesRetry() || Double.isInfinite(answerRate)) {
       return 0;
@@ -397,10 +405,7 @@
     }
   }
 
-  /**
-   * Closes a connection that is not in use, while servers that run refuse new ones. Guards against
-   * more balancers than a server takes connections, each of which keeps one that it hardly uses.
-   */
+  /** Closes what is not in use while servers that run refuse connections: others want them. */
   private void thrift(double now, ServerHealth server, boolean refused) {
     if (refused) {
       thriftUntil = now + THRIFT;
@@ -412,9 +417,8 @@
   }
 
   /**
-   * What an outcome says of its server's strain; fetches say more of the origin. Strain is set
-   * against the fleet's, so that a slow origin, which makes hits wait behind fetches everywhere,
-   * moves no keys to caches lacking them.
+   * What an outcome says of its server's strain, set against the fleet's: a slow origin, which
+   * makes hits wait behind fetches everywhere, must move no keys to caches lacking them.
    */
   private void judge(double now, PendingRequest p, ServerHealth server, Outcome outcome) {
     boolean fetch = outcome.attempt() == p.fetchAttempt || outcome.note().missed();
@@ -510,11 +514,9 @@
     if (p == null || p.answered) {
       return;
     }
-    if (settings.limits().mayCancel() && !p.streaming) {
-      for (int i = 0; i < p.tries.size(); i++) {
-        if (p.isOut(i)) {
-          actions.cancel(requestId, i);
-        }
+    for (int i = 0; i < p.tries.size(); i++) {
+      if (p.isOut(i) && settings.limits().mayCancel() && !p.streaming) {
+        actions.cancel(requestId, i);
       }
     }
     over(p);
--- a/core/src/main/java/shalepaddle/policy/KeyHeat.java
+++ b/core/src/main/java/shalepaddle/policy/KeyHeat.java
@@ -7,6 +7,8 @@
   /** Seconds after which old sightings count half: a few, since popularity moves on. */
   private static final double HALF_LIFE = 4;
 
+  private static final float KEEP = 0.8409f; // the fourth root of a half
+
   private final float[][] rows = new float[2][CELLS];
 
   /** All recent sightings, counted alike. */
@@ -19,7 +21,12 @@
     foldedAt = foldedAt == 0 ? now : foldedAt;
     while (now - foldedAt >= HALF_LIFE / 4) {
       foldedAt += HALF_LIFE / 4;
-      fold();
+      total *= KEEP;
+      for (float[] row : rows) {
+        for (int i = 0; i < CELLS; i++) {
+          row[i] *= KEEP;
+        }
+      }
     }
     total++;
     float least = Float.MAX_VALUE;
@@ -30,14 +37,4 @@
     }
     return least;
   }
-
-  private void fold() {
-    float keep = 0.8409f; // the fourth root of a half
-    total *= keep;
-    for (float[] row : rows) {
-      for (int i = 0; i < CELLS; i++) {
-        row[i] *= keep;
-      }
-    }
-  }
 }
--- a/core/src/main/java/shalepaddle/policy/MembershipFeed.java
+++ b/core/src/main/java/shalepaddle/policy/MembershipFeed.java
@@ -1,20 +1,24 @@
 package shalepaddle.policy;
 
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
-import java.util.stream.Collectors;
 import shalepaddle.model.MembershipUpdate;
 import shalepaddle.model.ServerEntry;
 import shalepaddle.model.Settings;
 
 /** Follows the list of servers and keeps asking for it where it must be asked. */
 final class MembershipFeed {
-  private final Settings settings;
+  Settings settings;
   private final Actions actions;
   private final SplittableRandom random;
-  private final TreeMap<Long, ServerHealth> servers = new TreeMap<>();
-  private boolean launched;
+  final TreeMap<Long, ServerHealth> servers = new TreeMap<>();
+
+  /** Since when an operator leaves servers out, also such as the list lacks for now. */
+  private final Map<Long, Double> excluded = new HashMap<>();
+
   private boolean subscribed;
   private double callAt = Double.POSITIVE_INFINITY;
   private int failures;
@@ -25,9 +29,22 @@
     this.random = random;
   }
 
-  /** All servers of the list that are ready, by id. */
+  /** All servers of the list that may get something new, by id. */
   List<ServerHealth> ready() {
-    return servers.values().stream().filter(ServerHealth::ready).toList();
+    return servers.values().stream().filter(s -> s.ready() && !excluded(s)).toList();
+  }
+
+  boolean excluded(ServerHealth server) {
+    return excluded.containsKey(server.id);
+  }
+
+  /** A server put back counts as just started: it was, or its start may be told yet. */
+  void exclude(double now, long id, boolean out) {
+    Double since = out ? excluded.putIfAbsent(id, now) : excluded.remove(id);
+    ServerHealth server = servers.get(id);
+    if (!out && since != null && server != null && server.entry.startedAt() <= since) {
+      put(now, server.entry.startingAt(now));
+    }
   }
 
   /** Takes news of the list in. */
@@ -44,10 +61,7 @@
       }
       case FULL, REMEMBERED, CHANGES -> {
         if (update.kind() != MembershipUpdate.Kind.CHANGES) {
-          servers
-              .keySet()
-              .retainAll(
-                  update.entries().stream().map(ServerEntry::id).collect(Collectors.toSet()));
+          servers.keySet().retainAll(update.ids());
         }
         update.entries().forEach(entry -> put(now, entry));
         if (update.kind() != MembershipUpdate.Kind.REMEMBERED) {
@@ -57,12 +71,9 @@
         }
       }
     }
-    if (!launched) {
-      launched = true;
-      if (settings.asksForList()) {
-        // Restarted balancers start together: spread their first calls by a little.
-        callIn(now, Math.min(0.02 * settings.instances(), 0.5) * random.nextDouble());
-      }
+    if (update.kind() == MembershipUpdate.Kind.REMEMBERED && settings.asksForList()) {
+      // Restarted balancers start together: spread their first calls by a little.
+      callIn(now, Math.min(0.02 * settings.instances(), 0.5) * random.nextDouble());
     }
   }
 
--- a/core/src/main/java/shalepaddle/policy/OriginGuard.java
+++ b/core/src/main/java/shalepaddle/policy/OriginGuard.java
@@ -67,9 +67,8 @@
     if (fetches < window) {
       return false;
     }
-    // A part of requests always goes: a balancer that sees little takes many keys for fetches that
-    // others have long had cached, and only asking tells. The part shrinks with the share that
-    // fares well: an origin whose queue only holds what nobody waits for must be let drain.
+    // A part of requests always goes: what others have long had cached only asking tells. It
+    // shrinks with the share that fares well: an origin that is behind must be let drain.
     tokens = Math.min(2, tokens + (now - tokensAt) * floor * (1 - losses) * (1 - losses));
     tokensAt = now;
     return tokens < 1;
--- a/core/src/main/java/shalepaddle/policy/PendingRequest.java
+++ b/core/src/main/java/shalepaddle/policy/PendingRequest.java
@@ -7,18 +7,12 @@
 
 /** A request and its attempts: what rules 1 and 2 (one answer, no effect twice) are kept by. */
 final class PendingRequest {
-  /** What is known of an attempt. */
-  private enum Fate {
-    OUT,
-    NOT_RUN,
-    MAY_HAVE_RUN
-  }
-
   /** One attempt. */
   static final class Attempt {
     final ServerHealth server;
     final double sentAt;
-    private Fate fate = Fate.OUT;
+    private boolean out = true;
+    private boolean mayHaveRun = true;
 
     Attempt(ServerHealth server, double sentAt) {
       this.server = server;
@@ -28,6 +22,7 @@
 
   final Request request;
   final Settings.ServiceClass type;
+  final Settings.Limits limits;
   final long keyHash;
   final long serial;
   final double arrived;
@@ -61,10 +56,15 @@
   boolean fetchCounted;
 
   PendingRequest(
-      Request request, Settings.ServiceClass type, long keyHash, long serial, double now) {
+      Request request,
+      Settings.ServiceClass type,
+      Settings.Limits limits,
+      long serial,
+      double now) {
     this.request = request;
     this.type = type;
-    this.keyHash = keyHash;
+    this.limits = limits;
+    this.keyHash = SlotTable.hash(request.key() != null ? request.key() : request.id());
     this.serial = serial;
     this.arrived = now;
     this.deadline = now + request.budget();
@@ -80,13 +80,14 @@
     if (!isOut(attempt)) {
       return false;
     }
-    tries.get(attempt).fate = provenNotRun ? Fate.NOT_RUN : Fate.MAY_HAVE_RUN;
+    tries.get(attempt).out = false;
+    tries.get(attempt).mayHaveRun = !provenNotRun;
     out--;
     return true;
   }
 
   boolean isOut(int attempt) {
-    return attempt >= 0 && attempt < tries.size() && tries.get(attempt).fate == Fate.OUT;
+    return attempt >= 0 && attempt < tries.size() && tries.get(attempt).out;
   }
 
   /** The attempt number to hash the key with at the given jump: its homes in turn, then onward. */
@@ -99,11 +100,10 @@
   }
 
   /**
-   * Rule 2: whether one more attempt may go to this server. Guards against an effect carried out
-   * twice: everything may be sent while no attempt can have run; after that only what is safe to
-   * repeat, or what the same group of servers still remembers.
+   * Rule 2: whether one more attempt may go to this server: anything while no attempt can have run,
+   * then what is safe to repeat, or what the same group of servers still remembers.
    */
-  boolean maySend(ServerHealth server, double now, Settings.Limits limits) {
+  boolean maySend(ServerHealth server, double now) {
     boolean alone = out == 0 || limits.parallelAttempts();
     if (answered || streaming || tries.size() >= limits.maxAttempts() || !alone) {
       return false;
@@ -127,6 +127,6 @@
   }
 
   private Attempt firstThatMayHaveRun() {
-    return tries.stream().filter(a -> a.fate != Fate.NOT_RUN).findFirst().orElse(null);
+    return tries.stream().filter(a -> a.mayHaveRun).findFirst().orElse(null);
   }
 }
--- a/core/src/main/java/shalepaddle/policy/ServerHealth.java
+++ b/core/src/main/java/shalepaddle/policy/ServerHealth.java
@@ -13,10 +13,9 @@
   static final int UNSERVED_AFTER = 3;
 
   /**
-   * How much a reset, or a request turned away, counts among those. A network or an idle limit
-   * breaks single connections to servers that run, and one whose process ended refuses new ones: a
-   * reset alone says little. Who has no room for a fetch may serve all else. Yet a server that does
-   * so to all is left out; could do harm where few requests make such a row likely.
+   * How much a reset, or a request turned away, counts among those. Networks and idle limits break
+   * connections to servers that run, and who has no room for a fetch may serve all else. Could do
+   * harm where few requests make such a row likely.
    */
   private static final double HALF_COUNTS = 0.5;
 
@@ -26,10 +25,9 @@
   private static final double LONGEST_PAUSE = 4;
 
   /**
-   * What a cold server is offered, in times of what it can do by the contract: most can do more,
-   * and usual load leaves room. With less, the keys of many that start at once crowd the rest.
-   * Could do harm where usual load is near capacity: then it is twice that, of rule 4's three
-   * times.
+   * What a cold server is offered, in times of what it can do by the contract: with less, the keys
+   * of many that start at once crowd the rest. Harms where usual load is near capacity: rule 4
+   * allows three times.
    */
   private static final double COLD_SHARE = 2;
 
@@ -45,10 +43,7 @@
 
   private double fetchedAt = Double.NEGATIVE_INFINITY;
 
-  /**
-   * The share of its keys that the server is offered, learned from how it fares: the others jump.
-   * Which keys stay goes by their hash alone, so balancers that learn alike move the same keys.
-   */
+  /** The share of its keys that the server is offered, learned from how it fares. */
   private double share = 1;
 
   /** How strained it is, lately: above 1 its answers come late or its cores are all in use. */
@@ -128,9 +123,8 @@
   }
 
   /**
-   * A sign of strain, 1 being the most that is fair. Guards against servers that are slower than
-   * the list says, or have more than their part of the keys, where each balancer has too few
-   * requests in flight for a cap to act.
+   * A sign of strain, 1 being the most that is fair. Guards against servers slower than the list
+   * says, or with too many keys, where a balancer has too little in flight for a cap to act.
    */
   void strained(double now, double sample, double fair) {
     strain = strain(now) + 0.2 * (Math.min(4, Math.max(0, sample)) - strain(now));
@@ -187,9 +181,8 @@
   }
 
   /**
-   * Rule 4: whether a cold server's budget has room for one more request, as a backstop where few
-   * keys draw much. The rate is at which warm servers of like weight answer this balancer, times
-   * what the cold one is offered by now.
+   * Rule 4: whether a cold server's budget has room for one more request, where few keys draw much.
+   * The rate is that at which warm servers of like weight answer this balancer.
    */
   boolean coldRoom(double now, double warmRate) {
     double rate = COLD_SHARE * warmRate * warmth(now);
--- /dev/null
+++ b/core/src/test/java/shalepaddle/policy/ExclusionTest.java
@@ -0,0 +1,156 @@
+package shalepaddle.policy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import shalepaddle.model.MembershipUpdate;
+import shalepaddle.model.Outcome;
+import shalepaddle.model.ServerEntry;
+import shalepaddle.model.Settings;
+
+/** Servers that an operator leaves out, and settings that change, as the module takes them. */
+class ExclusionTest {
+  private static final Settings SETTINGS = Rig.settings(false, 4, true);
+
+  private final Rig.Recorder actions = new Rig.Recorder();
+  private final Balancer balancer = new Balancer(SETTINGS, 1, actions);
+
+  private long sent() {
+    return actions.acts.get(actions.acts.size() - 1).number();
+  }
+
+  private boolean sends(double now, String id, String key) {
+    int before = actions.of("send").size();
+    balancer.request(now, Rig.request(id, key, "safe", 1));
+    return actions.of("send").size() > before;
+  }
+
+  @Test
+  void anExcludedServerGetsNothingWhateverTheListSaysAndWhoeverFails() {
+    balancer.membership(100, Rig.fleet(6));
+    balancer.exclude(100, 3, true);
+    balancer.exclude(100, 3, true);
+    Random random = new Random(5);
+    int got = 0;
+    for (int i = 0; i < 3000; i++) {
+      double now = 100 + i * 0.01;
+      if (i % 50 == 0) {
+        // It leaves, vanishes, comes back under its id, and starts anew.
+        ServerEntry.State state = ServerEntry.State.values()[random.nextInt(3)];
+        ServerEntry entry = Rig.server(3, state, random.nextBoolean() ? now - 1 : 0);
+        balancer.membership(now, Rig.list(MembershipUpdate.Kind.CHANGES, List.of(entry)));
+      }
+      if (sends(now, "r" + i, "k" + i % 200)) {
+        long server = sent();
+        assertFalse(server == 3, "excluded server was sent to at " + now);
+        got++;
+        // Now and then all others fail together: no panic may bring it back.
+        Outcome.Result result = i % 1000 > 800 ? Outcome.Result.CONNECT_FAILED : Outcome.Result.OK;
+        balancer.outcome(now, Rig.outcome("r" + i, 0, server, result));
+        while (actions.of("send").stream().anyMatch(act -> act.number() == 3)) {
+          throw new AssertionError("a retry went to the excluded server");
+        }
+      }
+    }
+    assertTrue(got > 1000, got + " sent");
+  }
+
+  @Test
+  void whereAllAreExcludedRequestsAreRefused() {
+    balancer.membership(100, Rig.fleet(2));
+    balancer.exclude(100, 1, true);
+    balancer.exclude(100, 2, true);
+    assertFalse(sends(100.1, "r1", "k"));
+    assertEquals(1, actions.of("refuse").size());
+    assertEquals(2, balancer.listed(false));
+    assertEquals(2, balancer.listed(true));
+    balancer.exclude(101, 1, false);
+    assertEquals(1, balancer.listed(true));
+  }
+
+  @Test
+  void oneThatIsPutBackIsColdFromThenOnUnlessTheListToldOfItsStart() {
+    balancer.membership(100, Rig.fleet(2));
+    balancer.exclude(100, 1, true);
+    balancer.exclude(100, 2, true);
+    // The second has started anew long enough ago to be warm, and the list has told so.
+    balancer.membership(
+        105,
+        Rig.list(
+            MembershipUpdate.Kind.CHANGES, List.of(Rig.server(2, ServerEntry.State.READY, 101))));
+    balancer.exclude(125, 1, false);
+    balancer.exclude(125, 2, false);
+    int cold = 0;
+    int warm = 0;
+    for (int i = 0; i < 200; i++) {
+      double now = 125 + i * 0.01;
+      if (sends(now, "r" + i, "k" + i)) {
+        cold += sent() == 1 ? 1 : 0;
+        warm += sent() == 2 ? 1 : 0;
+        balancer.outcome(now, Rig.outcome("r" + i, 0, sent(), Outcome.Result.OK));
+      }
+    }
+    assertTrue(warm > 150, warm + " to the warm one");
+    assertTrue(cold < 0.25 * warm, cold + " to the cold one, " + warm + " to the warm one");
+  }
+
+  @Test
+  void anOpenRequestKeepsItsClassAndNumberOfAttempts() {
+    balancer.membership(100, Rig.fleet(6));
+    balancer.request(100, Rig.request("old", "k", "unsafe", 1));
+    balancer.request(100, Rig.request("many", "k", "safe", 1));
+    Settings next = changed(1);
+    balancer.retune(next);
+    // It may have run, and was taken as one that must not run twice.
+    balancer.outcome(100.1, Rig.outcome("old", 0, 0, Outcome.Result.ERROR));
+    assertEquals(List.of("old"), actions.of("fail").stream().map(Rig.Act::id).toList());
+    long before = actions.of("send").size();
+    balancer.outcome(100.1, Rig.outcome("many", 0, 0, Outcome.Result.RESET));
+    assertEquals(before + 1, actions.of("send").size(), "four attempts were its due");
+    // What comes now has one attempt, and the class may be repeated.
+    balancer.request(100.2, Rig.request("new", "k", "unsafe", 1));
+    balancer.outcome(100.3, Rig.outcome("new", 0, 0, Outcome.Result.ERROR));
+    assertEquals(List.of("new"), actions.of("refuse").stream().map(Rig.Act::id).toList());
+  }
+
+  private static Settings changed(int attempts) {
+    Settings old = Rig.settings(false, attempts, true);
+    List<Settings.ServiceClass> services =
+        old.services().stream()
+            .map(
+                type ->
+                    new Settings.ServiceClass(
+                        type.name(),
+                        type.aim(),
+                        type.aimStretch(),
+                        type.deadline(),
+                        type.worth(),
+                        type.lateShare(),
+                        Settings.Effect.SAFE,
+                        type.group(),
+                        type.repeatWindow(),
+                        type.streamed()))
+            .toList();
+    return new Settings(
+        old.zone(),
+        old.zones(),
+        old.kinds(),
+        old.number(),
+        old.instances(),
+        old.asksForList(),
+        old.marksRepeats(),
+        old.weights(),
+        old.cache(),
+        old.limits(),
+        old.contract(),
+        old.prices(),
+        services,
+        old.tenants(),
+        old.overShareWorth(),
+        old.tick());
+  }
+}
--- a/core/src/test/java/shalepaddle/policy/FailuresTest.java
+++ b/core/src/test/java/shalepaddle/policy/FailuresTest.java
@@ -31,7 +31,7 @@
     return new PendingRequest(
         Rig.request("r" + serial, key, "safe", 1),
         SETTINGS.services().get(0),
-        SlotTable.hash(key),
+        SETTINGS.limits(),
         serial,
         100);
   }
--- a/daemon/src/test/java/shalepaddle/daemon/ArchitectureTest.java
+++ b/daemon/src/test/java/shalepaddle/daemon/ArchitectureTest.java
@@ -119,6 +119,7 @@
           "membership", List.of("loop", "model", "settings"),
           "config", List.of("joining", "membership", "model", "overload", "settings"),
           "engine", List.of("joining", "loop", "membership", "model", "overload", "policy"),
+          "management", List.of("engine"),
           "upstream", List.of("engine", "loop", "membership", "model"),
           "front", List.of("engine", "loop", "model", "overload"),
           "codec", List.of("engine", "front", "upstream", "model"));
@@ -135,6 +136,7 @@
             "sim",
             "daemon",
             "node",
+            "management",
             "loop",
             "membership",
             "config",
--- a/engine/src/main/java/shalepaddle/codec/meta/MetaClientCodec.java
+++ b/engine/src/main/java/shalepaddle/codec/meta/MetaClientCodec.java
@@ -11,8 +11,7 @@
 /** The meta protocol, as clients speak it. */
 public final class MetaClientCodec implements ClientCodec {
   private final MemoryBudget values;
-  private final Names classes;
-  private final Names tenants;
+  private final Vocabulary names;
   private final Gate gate;
 
   /**
@@ -25,14 +24,26 @@
    */
   public MetaClientCodec(MemoryBudget values, Settings settings, Gate gate) {
     this.values = values;
-    this.classes = new Names(settings.services().stream().map(c -> c.name()).toList());
-    this.tenants = new Names(settings.tenants().stream().map(t -> t.name()).toList());
+    this.names = new Vocabulary(settings);
     this.gate = gate;
   }
 
+  /**
+   * From now on requests are read by these settings, on all connections. Classes that are dropped
+   * are still taken until then; {@link #forget} is due at that time.
+   */
+  public void retune(Settings settings, long now, long until) {
+    names.retune(settings, now, until);
+  }
+
+  /** Turns down classes that were dropped and whose time is up. */
+  public void forget(long now) {
+    names.forget(now);
+  }
+
   @Override
   public CommandDecoder decoder() {
-    return new MetaCommandDecoder(values, classes, tenants, gate);
+    return new MetaCommandDecoder(values, names, gate);
   }
 
   @Override
--- a/engine/src/main/java/shalepaddle/codec/meta/MetaCommandDecoder.java
+++ b/engine/src/main/java/shalepaddle/codec/meta/MetaCommandDecoder.java
@@ -23,9 +23,8 @@
   private final MemoryBudget budget;
 
   /** The classes that there are. Guards cache servers against what they would turn away. */
-  private final Names classes;
+  private final Vocabulary names;
 
-  private final Names tenants;
   private final Gate gate;
   private final MetaGlance glance;
 
@@ -41,12 +40,11 @@
   /** Whether the gate has admitted the line that is read next. */
   private boolean asked;
 
-  MetaCommandDecoder(MemoryBudget budget, Names classes, Names tenants, Gate gate) {
+  MetaCommandDecoder(MemoryBudget budget, Vocabulary names, Gate gate) {
     this.budget = budget;
-    this.classes = classes;
-    this.tenants = tenants;
+    this.names = names;
     this.gate = gate;
-    this.glance = new MetaGlance(classes, tenants);
+    this.glance = new MetaGlance(names);
   }
 
   /** Whether a command has begun and not ended. */
@@ -190,6 +188,7 @@
       if (command.request() != null && value == null) {
         // Guards against more writes at once than there is memory for: this one is read and
         // dropped, and refused, which is true since it has never gone out.
+        gate.turnedAway(command.request().serviceClass());
         command.release();
         command = ClientCommand.refused(MetaReplies.line(allocator, "SERVER_ERROR busy"), 1);
       }
@@ -243,11 +242,11 @@
           int value = Math.min(equals + 1, to);
           switch (line.text(from, equals)) {
             case "c" -> {
-              classPlace = classes.find(line.bytes, value, to);
+              classPlace = names.classes().find(line.bytes, value, to);
               serviceClass = classPlace < 0 ? null : line.text(value, to);
             }
             case "t" -> {
-              tenantPlace = tenants.find(line.bytes, value, to);
+              tenantPlace = names.tenants().find(line.bytes, value, to);
               tenant = line.text(value, to);
             }
             case "d" -> {
--- a/engine/src/main/java/shalepaddle/codec/meta/MetaGlance.java
+++ b/engine/src/main/java/shalepaddle/codec/meta/MetaGlance.java
@@ -11,8 +11,7 @@
  * with it.
  */
 final class MetaGlance {
-  private final Names classes;
-  private final Names tenants;
+  private final Vocabulary names;
 
   /** What the last line said; -1 for a class or tenant that is not known, or not named. */
   int serviceClass;
@@ -24,9 +23,8 @@
   /** Bytes of the value that follows, -1 where none does. */
   int length;
 
-  MetaGlance(Names classes, Names tenants) {
-    this.classes = classes;
-    this.tenants = tenants;
+  MetaGlance(Vocabulary names) {
+    this.names = names;
   }
 
   /**
@@ -74,8 +72,8 @@
       }
       if (to - from > 2 && in.getByte(from + 1) == '=') {
         switch (in.getByte(from)) {
-          case 'c' -> serviceClass = classes.find(in, from + 2, to);
-          case 't' -> tenant = tenants.find(in, from + 2, to);
+          case 'c' -> serviceClass = names.classes().find(in, from + 2, to);
+          case 't' -> tenant = names.tenants().find(in, from + 2, to);
           case 'r' -> repeat = to - from == 3 && in.getByte(from + 2) == '1';
           default -> {
             // Nothing that a refusal rests on.
--- a/engine/src/main/java/shalepaddle/config/NodeConfig.java
+++ b/engine/src/main/java/shalepaddle/config/NodeConfig.java
@@ -9,12 +9,14 @@
 import shalepaddle.model.Settings;
 import shalepaddle.settings.FormatException;
 import shalepaddle.settings.JsonObject;
+import shalepaddle.settings.Retuning;
 import shalepaddle.settings.SettingsFormat;
 
 /**
  * What the platform tells a node.
  *
  * @param listen where clients connect
+ * @param management where operators call, null for nowhere
  * @param discovery where the list of servers is
  * @param seed for random numbers
  * @param sockets file descriptors that the process may hold
@@ -25,6 +27,7 @@
  */
 public record NodeConfig(
     InetSocketAddress listen,
+    InetSocketAddress management,
     InetSocketAddress discovery,
     long seed,
     int sockets,
@@ -38,8 +41,35 @@
     if (file == null || file.isEmpty()) {
       throw new FormatException("ROUTER_CONFIG does not name a file");
     }
+    return read(file, NodeConfig::parse);
+  }
+
+  /**
+   * Reads the file as it is now, for a node that runs: whole, or not at all.
+   *
+   * @param shape what the file said when the node started: each of its keys is still needed
+   */
+  public static NodeConfig reload(String file, JsonObject shape) throws FormatException {
+    return read(
+        file,
+        next -> {
+          Retuning.check(shape, next);
+          return parse(next);
+        });
+  }
+
+  /** What the file says, unread. */
+  public static JsonObject text(String file) throws FormatException {
+    return read(file, text -> text);
+  }
+
+  private interface Reading<T> {
+    T of(JsonObject text) throws FormatException;
+  }
+
+  private static <T> T read(String file, Reading<T> reading) throws FormatException {
     try {
-      return parse(JsonObject.parse(Files.readString(Path.of(file))));
+      return reading.of(JsonObject.parse(Files.readString(Path.of(file))));
     } catch (IOException | InvalidPathException e) {
       throw new FormatException("cannot read " + file);
     } catch (FormatException e) {
@@ -52,7 +82,7 @@
     return parse(
         JsonObject.parse(
             """
-            {"listen":"127.0.0.1:0","discovery":"127.0.0.1:9","seed":"1",
+            {"listen":"127.0.0.1:0","management":"127.0.0.1:0","discovery":"127.0.0.1:9","seed":"1",
              "limits":{"sockets":256,"memory_mb":128},
              "known":{"version":1,"full":true,"servers":[]},
              "settings":{"discovery":"ask",
@@ -73,6 +103,7 @@
     }
     return new NodeConfig(
         MemberList.address(config.requiredText("listen")),
+        management(config),
         MemberList.address(config.requiredText("discovery")),
         seed(config.requiredText("seed")),
         (int) limits.requiredNumber("sockets"),
@@ -82,6 +113,36 @@
         settings);
   }
 
+  private static InetSocketAddress management(JsonObject config) throws FormatException {
+    return config.has("management") ? MemberList.address(config.requiredText("management")) : null;
+  }
+
+  /** The same, with other settings. */
+  public NodeConfig with(Settings next) {
+    return new NodeConfig(
+        listen, management, discovery, seed, sockets, memoryMb, cores, known, next);
+  }
+
+  /**
+   * The same, where operators call at the address that the environment names for this one process:
+   * it goes before what the file says of the node. Null or empty leaves all as it is.
+   */
+  public NodeConfig managedAt(String address) throws FormatException {
+    if (address == null || address.isEmpty()) {
+      return this;
+    }
+    return new NodeConfig(
+        listen,
+        MemberList.address(address),
+        discovery,
+        seed,
+        sockets,
+        memoryMb,
+        cores,
+        known,
+        settings);
+  }
+
   private static long seed(String text) throws FormatException {
     try {
       return Long.parseUnsignedLong(text, 16);
--- a/engine/src/main/java/shalepaddle/engine/Dispatcher.java
+++ b/engine/src/main/java/shalepaddle/engine/Dispatcher.java
@@ -59,12 +59,13 @@
   private final LoopClock loopClock;
   private final EventLoop loop;
   private final Timers timers;
-  private final Settings settings;
+  private Settings settings;
   private final long tickNanos;
   private final Log log;
   private final Balancer balancer;
   private final OverloadControl overload;
-  private final Intake<Waiting> intake;
+  private Intake<Waiting> intake;
+  private final Figures figures = new Figures();
 
   /** Null where reads are not joined. */
   private final JoinedReads reads;
@@ -120,10 +121,50 @@
     this.tickNanos = tickNanos(settings);
     this.timers = new Timers(loop, loopClock, log, tickNanos);
     this.balancer = new Balancer(settings, seed, this);
+    figures.name(names(settings));
     this.reads =
         joining.joins() ? new JoinedReads(this, loopClock, timers, settings, joining) : null;
   }
 
+  private static List<String> names(Settings settings) {
+    return settings.services().stream().map(Settings.ServiceClass::name).toList();
+  }
+
+  /**
+   * From now on new requests follow these settings; what is open, and what waits for its turn,
+   * keeps those under which it was taken. {@link OverloadControl#retune} comes between the two
+   * steps, since what waits lies by the tiers of the old classes.
+   */
+  public void retune(Settings next, Runnable overloadFollows) {
+    long now = loopClock.now();
+    for (Waiting waiting = intake.poll(now); waiting != null; waiting = intake.poll(now)) {
+      begin(waiting, now);
+    }
+    overloadFollows.run();
+    intake = overload.intake(MAX_WAITING, this::turnAway);
+    settings = next;
+    figures.name(names(next));
+    if (reads != null) {
+      reads.retune(next);
+    }
+    tell(at -> balancer.retune(next));
+  }
+
+  /** An operator leaves a server out, or puts it back. */
+  public void exclude(long server, boolean out) {
+    tell(now -> balancer.exclude(now, server, out));
+  }
+
+  /** Servers in the list; only those that get nothing now where that is asked. */
+  public int listed(boolean avoided) {
+    return balancer.listed(avoided);
+  }
+
+  /** What has become of requests and attempts. */
+  public Figures figures() {
+    return figures;
+  }
+
   /** The simulator's tick where it is of use to a real clock. */
   private static long tickNanos(Settings settings) {
     return (long) (1e9 * Math.max(0.001, Math.min(0.01, settings.tick())));
@@ -200,13 +241,15 @@
    */
   public Submission submit(Call call) {
     String id = call.request().id();
+    figures.taken();
     if (open.containsKey(id) || reads != null && reads.hasId(id)) {
+      figures.answered(call.request().serviceClass(), new Reply.Failed(false));
       call.payload().release();
       return null;
     }
     long now = loopClock.look();
     if (closed) {
-      Exchange refused = new Exchange(call, now);
+      Exchange refused = new Exchange(call, now, 0);
       end(refused, new Reply.Refused(0));
       return refused;
     }
@@ -226,7 +269,7 @@
 
   /** An exchange for a request, which has until then; it is to be started. */
   Exchange open(Call call, long deadline) {
-    Exchange request = new Exchange(call, deadline);
+    Exchange request = new Exchange(call, deadline, settings.limits().maxAttempts());
     open.put(request.id(), request);
     return request;
   }
@@ -308,8 +351,7 @@
       if (next == null) {
         return;
       }
-      double left = (next.exchange().deadlineNanos - now) / 1e9;
-      begin(next.exchange(), next.taken().within(Math.max(0, left)));
+      begin(next, now);
       now = loopClock.now();
     }
     if (intake.size() > 0) {
@@ -317,6 +359,11 @@
     }
   }
 
+  private void begin(Waiting next, long now) {
+    double left = (next.exchange().deadlineNanos - now) / 1e9;
+    begin(next.exchange(), next.taken().within(Math.max(0, left)));
+  }
+
   /** In the next turn: what is executed at once runs in this one, before anything more is read. */
   private void beginLater() {
     loop.schedule(this::beginWaiting, 1, TimeUnit.NANOSECONDS);
@@ -417,6 +464,7 @@
       return;
     }
     request.ended = true;
+    gone(request.call);
     tell(
         now -> {
           balancer.clientGone(now, request.id());
@@ -424,8 +472,21 @@
         });
   }
 
+  /** The client of this call has left before its answer. */
+  void gone(Call call) {
+    if (!JoinedReads.shared(call)) {
+      figures.gone();
+    }
+  }
+
   // What cache servers do.
 
+  /** An attempt's last byte was handed to the socket: from now on it may run. */
+  public void written(Attempt attempt) {
+    attempt.written = true;
+    figures.forwarded();
+  }
+
   /** An attempt ended without an answer, or with one that serves nobody. */
   public void ended(Attempt attempt, Outcome.Result result) {
     ended(attempt, result, Outcome.Note.NONE, null);
@@ -488,8 +549,16 @@
     give(request.call, reply);
   }
 
-  /** Guards against a sink that fails: what else is open must not suffer. */
+  /** The final answer of a call that was taken. */
   void give(Call call, Reply reply) {
+    if (!JoinedReads.shared(call)) {
+      figures.answered(call.request().serviceClass(), reply);
+    }
+    deliver(call, reply);
+  }
+
+  /** Guards against a sink that fails: what else is open must not suffer. */
+  void deliver(Call call, Reply reply) {
     try {
       call.sink().reply(reply);
     } catch (RuntimeException e) {
@@ -522,7 +591,7 @@
     request.out++;
     // One with less than a tick would be given up in the tick in which it is sent.
     boolean late = latest - now < tickNanos;
-    if (request.ended || attempt.number >= settings.limits().maxAttempts() || late) {
+    if (request.ended || attempt.number >= request.maxAttempts || late) {
       ended(attempt, Outcome.Result.MOOT);
       return;
     }
--- a/engine/src/main/java/shalepaddle/engine/Engine.java
+++ b/engine/src/main/java/shalepaddle/engine/Engine.java
@@ -80,14 +80,14 @@
       }
       taken = dispatcher.submit(call);
       if (taken == null) {
-        dispatcher.give(call, new Reply.Failed(false));
+        dispatcher.deliver(call, new Reply.Failed(false));
       }
     }
 
     /** The loop will never see it. */
     void turnAway() {
       call.payload().release();
-      dispatcher.give(call, new Reply.Refused(0));
+      dispatcher.deliver(call, new Reply.Refused(0));
     }
 
     @Override
--- a/engine/src/main/java/shalepaddle/engine/Exchange.java
+++ b/engine/src/main/java/shalepaddle/engine/Exchange.java
@@ -11,6 +11,9 @@
   /** Later once somebody who waits longer has joined it. */
   long deadlineNanos;
 
+  /** Attempts that it may have, by the settings under which it was taken. */
+  final int maxAttempts;
+
   final List<Attempt> attempts = new ArrayList<>(1);
 
   /** Attempts whose outcome the module has not been told. */
@@ -30,8 +33,9 @@
   /** How the attempt ended that ended last, null if none has. */
   Outcome.Result lastResult;
 
-  Exchange(Call call, long deadlineNanos) {
+  Exchange(Call call, long deadlineNanos, int maxAttempts) {
     this.call = call;
+    this.maxAttempts = maxAttempts;
     this.bearer = call;
     this.deadlineNanos = deadlineNanos;
   }
--- a/engine/src/main/java/shalepaddle/engine/JoinedReads.java
+++ b/engine/src/main/java/shalepaddle/engine/JoinedReads.java
@@ -30,10 +30,10 @@
   private final LoopClock clock;
   private final Timers timers;
   private final Joining<Waiter> joining;
-  private final long longestAdvice;
+  private long longestAdvice;
 
   /** The classes whose reads may be repeated without harm. */
-  private final Set<String> safe;
+  private Set<String> safe;
 
   /** Those who joined, by their ids; who begins a flight is known by its exchange. */
   private final Map<String, Waiter> joined = new HashMap<>();
@@ -48,8 +48,13 @@
     this.clock = clock;
     this.timers = timers;
     this.joining = new Joining<>(tuning);
-    this.longestAdvice = Math.round(settings.limits().maxRetryAfter() * 1e3);
-    this.safe =
+    retune(settings);
+  }
+
+  /** Reads that come from now on are joined by these. */
+  void retune(Settings settings) {
+    longestAdvice = Math.round(settings.limits().maxRetryAfter() * 1e3);
+    safe =
         settings.services().stream()
             .filter(type -> type.effect() == Settings.Effect.SAFE && !type.streamed())
             .map(Settings.ServiceClass::name)
@@ -82,6 +87,11 @@
     return joined.containsKey(id);
   }
 
+  /** Whether this is the call of a try that several share, and none that a client sent. */
+  static boolean shared(Call call) {
+    return call.sink() instanceof SharedTry;
+  }
+
   /** Callers that wait in another's flight. */
   int size() {
     return joined.size();
@@ -137,6 +147,7 @@
     if (!waiter.over) {
       SharedTry shared = waiter.shared;
       over(waiter);
+      dispatcher.gone(waiter.call);
       if (joining.leave(waiter.place)) {
         shared.abandon();
       } else {
--- a/engine/src/main/java/shalepaddle/front/Gate.java
+++ b/engine/src/main/java/shalepaddle/front/Gate.java
@@ -40,4 +40,7 @@
    *     advice
    */
   long ask(int serviceClass, int tenant, long subject, boolean repeat);
+
+  /** An admitted request of this class was refused all the same, since there is no room for it. */
+  default void turnedAway(String serviceClass) {}
 }
--- /dev/null
+++ b/engine/src/main/java/shalepaddle/management/Telemetry.java
@@ -0,0 +1,19 @@
+package shalepaddle.management;
+
+import shalepaddle.engine.FiguresReading;
+
+/**
+ * What operators see of one process, at one moment.
+ *
+ * @param figures what became of requests and attempts
+ * @param discovered cache servers in the list
+ * @param ejected those of them that get nothing new now, by hand or by choice
+ * @param hangupsApplied configurations that were taken at SIGHUP
+ * @param hangupsRejected those that were turned down
+ */
+public record Telemetry(
+    FiguresReading figures,
+    int discovered,
+    int ejected,
+    long hangupsApplied,
+    long hangupsRejected) {}
--- a/engine/src/main/java/shalepaddle/membership/MemberList.java
+++ b/engine/src/main/java/shalepaddle/membership/MemberList.java
@@ -65,7 +65,7 @@
    * The number by which the module knows a server: made from the id alone, so that all nodes agree
    * on a key's home, and wide enough that no two ids of a fleet meet.
    */
-  static long number(String id) {
+  public static long number(String id) {
     return UUID.nameUUIDFromBytes(id.getBytes(StandardCharsets.UTF_8)).getMostSignificantBits();
   }
 
--- /dev/null
+++ b/engine/src/main/java/shalepaddle/node/DoorKeeper.java
@@ -0,0 +1,48 @@
+package shalepaddle.node;
+
+import io.netty.channel.EventLoop;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
+import shalepaddle.management.Operated;
+import shalepaddle.management.Telemetry;
+
+/** What the operators' door leads to: published readings, and commands for the request loop. */
+final class DoorKeeper implements Operated {
+  private final EventLoop loop;
+  private final LoadBalancer balancer;
+
+  DoorKeeper(EventLoop loop, LoadBalancer balancer) {
+    this.loop = loop;
+    this.balancer = balancer;
+  }
+
+  @Override
+  public boolean ready() {
+    return balancer.ready();
+  }
+
+  @Override
+  public Telemetry telemetry() {
+    return balancer.telemetry();
+  }
+
+  @Override
+  public Revocable exclude(String member, boolean out, Consumer<Result> done) {
+    // Whoever sets it first has the command: the loop to carry it out, or the caller to call it
+    // off.
+    AtomicBoolean claimed = new AtomicBoolean();
+    try {
+      loop.execute(
+          () -> {
+            if (claimed.compareAndSet(false, true)) {
+              done.accept(balancer.exclude(member, out) ? Result.DONE : Result.UNKNOWN_MEMBER);
+            }
+          });
+    } catch (RejectedExecutionException e) {
+      claimed.set(true);
+      done.accept(Result.UNAVAILABLE);
+    }
+    return () -> claimed.compareAndSet(false, true);
+  }
+}
--- a/engine/src/main/java/shalepaddle/node/LoadBalancer.java
+++ b/engine/src/main/java/shalepaddle/node/LoadBalancer.java
@@ -3,7 +3,6 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
-import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.util.List;
 import java.util.Locale;
@@ -21,6 +20,7 @@
 import shalepaddle.loop.Clock;
 import shalepaddle.loop.Log;
 import shalepaddle.loop.LoopClock;
+import shalepaddle.management.Telemetry;
 import shalepaddle.membership.DiscoveryClient;
 import shalepaddle.membership.MemberList;
 import shalepaddle.membership.MemberListener;
@@ -38,8 +38,8 @@
  * cache servers and the list of them, put together. It knows nothing of processes and signals, so
  * that the same code runs in a daemon, in another program, and in virtual time.
  *
- * <p>All methods are to be called on the event loop, but for {@link #engine}, {@link #overload} and
- * {@link #joining}.
+ * <p>All methods are to be called on the event loop, but for {@link #engine} and the readings,
+ * which say so.
  */
 public final class LoadBalancer {
   /**
@@ -52,6 +52,9 @@
   /** Descriptors kept for files and pipes of the virtual machine, the selector and discovery. */
   private static final int OWN_DESCRIPTORS = 32;
 
+  /** How long a class that was dropped is still taken: so long its clients may not have heard. */
+  private static final long DROPPED_NANOS = 1_200_000_000L;
+
   /** Connections to one server, over all nodes together, that this tier opens of itself. */
   private static final int TIER_CONNECTIONS = 28;
 
@@ -87,18 +90,23 @@
   private final Clock time;
   private final Transport transport;
   private final Log log;
-  private final NodeConfig config;
+  private NodeConfig config;
   private final Dispatcher dispatcher;
   private final Engine engine;
   private final ServerPools pools;
   private final DiscoveryClient discovery;
   private final ClientFront front;
+  private final MetaClientCodec codec;
   private final OverloadControl overload;
   private final ProcessorUse processor;
   private Channel listener;
   private long trimmedAt;
   private volatile OverloadReading reading;
   private volatile JoiningReading joining;
+  private volatile Telemetry telemetry;
+  private volatile boolean accepting;
+  private long hangupsApplied;
+  private long hangupsRejected;
   private boolean closed;
 
   /** One that opens as many connections to each server as its part of the tier allows. */
@@ -142,6 +150,7 @@
         new Dispatcher(
             settings, config.seed(), loop, clock, time, log, overload, operator.joining());
     joining = dispatcher.joining();
+    telemetry = telemetryNow();
     engine = new Engine(loop, dispatcher, MAX_SUBMITTED);
     pools =
         new ServerPools(
@@ -160,12 +169,10 @@
             config.known().version(),
             new Members());
     MemoryBudget values = new MemoryBudget((long) config.memoryMb() << 18);
+    codec = new MetaClientCodec(values, settings, new Entrance());
     front =
         new ClientFront(
-            dispatcher,
-            new MetaClientCodec(values, settings, new Entrance()),
-            (int) (config.sockets() * CLIENT_SHARE),
-            overload::posture);
+            dispatcher, codec, (int) (config.sockets() * CLIENT_SHARE), overload::posture);
   }
 
   /** Asks whether a request is admitted, at the time of the loop. */
@@ -177,7 +184,16 @@
 
     @Override
     public long ask(int serviceClass, int tenant, long subject, boolean repeat) {
-      return overload.ask(serviceClass, tenant, subject, repeat, clock.now());
+      long advice = overload.ask(serviceClass, tenant, subject, repeat, clock.now());
+      if (advice != ADMITTED) {
+        dispatcher.figures().declined(config.settings().services().get(serviceClass).name());
+      }
+      return advice;
+    }
+
+    @Override
+    public void turnedAway(String serviceClass) {
+      dispatcher.figures().declined(serviceClass);
     }
   }
 
@@ -228,6 +244,7 @@
         done -> {
           if (done.isSuccess()) {
             listener = bound.channel();
+            accepting = true;
             sweepLater();
             measure();
           }
@@ -252,6 +269,7 @@
         now);
     reading = overload.reading();
     joining = dispatcher.joining();
+    telemetry = telemetryNow();
     if (overload.posture().trims() && now - trimmedAt > TRIM_NANOS) {
       trimmedAt = now;
       transport.trim();
@@ -303,10 +321,63 @@
     }
   }
 
-  /** From now on the list comes from this address. */
-  public void discoverAt(InetSocketAddress address) {
-    log.line("configuration taken, discovery at " + address);
-    discovery.moveTo(address);
+  private Telemetry telemetryNow() {
+    return new Telemetry(
+        dispatcher.figures().reading(),
+        dispatcher.listed(false),
+        dispatcher.listed(true),
+        hangupsApplied,
+        hangupsRejected);
+  }
+
+  /** What operators see, as it stood some milliseconds ago. From any thread. */
+  public Telemetry telemetry() {
+    return telemetry;
+  }
+
+  /** Whether a request that came now would be taken and served. From any thread. */
+  public boolean ready() {
+    return accepting;
+  }
+
+  /**
+   * Leaves a cache server out until it is put back, whatever discovery says of it meanwhile. False,
+   * and nothing is done, if no such server is known.
+   */
+  public boolean exclude(String member, boolean out) {
+    long server = MemberList.number(member);
+    if (!pools.knows(server)) {
+      return false;
+    }
+    log.line(member + (out ? " left out" : " put back") + " by hand");
+    pools.exclude(server, out);
+    dispatcher.exclude(server, out);
+    telemetry = telemetryNow();
+    return true;
+  }
+
+  /**
+   * From now on these settings hold for what comes, and the list comes from where they say. Limits,
+   * addresses to listen on and the seed hold from the next start on.
+   */
+  public void retune(NodeConfig next) {
+    log.line("configuration taken, discovery at " + next.discovery());
+    Settings settings = next.settings();
+    dispatcher.retune(settings, () -> overload.retune(settings));
+    long now = clock.now();
+    codec.retune(settings, now, now + DROPPED_NANOS);
+    dispatcher.timers().after(DROPPED_NANOS, () -> codec.forget(clock.now()));
+    config = config.with(settings);
+    discovery.moveTo(next.discovery());
+    hangupsApplied++;
+    telemetry = telemetryNow();
+  }
+
+  /** A configuration was turned down. */
+  public void notRetuned(String why) {
+    log.line("configuration not taken, the old one holds: " + why);
+    hangupsRejected++;
+    telemetry = telemetryNow();
   }
 
   /** A turn of the loop ends that began then, see {@link LoopClock.Listener#turned}. */
@@ -338,6 +409,7 @@
    * whoever waits for a restart that could have been quicker.
    */
   public void drain(Runnable then) {
+    accepting = false;
     long answered = drainMillis();
     dispatcher.answerBy(clock.now() + TimeUnit.MILLISECONDS.toNanos(answered));
     loop.schedule(this::stopAccepting, ACCEPT_MILLIS, TimeUnit.MILLISECONDS);
@@ -360,6 +432,7 @@
   /** Ends at once: every open request gets its one answer, and nothing new is taken or sent. */
   public void close() {
     closed = true;
+    accepting = false;
     stopAccepting();
     engine.close();
     pools.close();
--- a/engine/src/main/java/shalepaddle/node/Node.java
+++ b/engine/src/main/java/shalepaddle/node/Node.java
@@ -7,6 +7,9 @@
 import io.netty.util.concurrent.Ticker;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import shalepaddle.config.NodeConfig;
@@ -17,8 +20,10 @@
 import shalepaddle.loop.Log;
 import shalepaddle.loop.LoopClock;
 import shalepaddle.loop.WatchedIoHandler;
+import shalepaddle.management.Door;
 import shalepaddle.overload.OverloadReading;
 import shalepaddle.settings.FormatException;
+import shalepaddle.settings.JsonObject;
 
 /** One load balancer as a process of its own: its event loop, its start, and its end in order. */
 public final class Node implements AutoCloseable {
@@ -39,6 +44,7 @@
   private final LoopClock clock;
   private final LoadBalancer balancer;
   private final CountDownLatch drained = new CountDownLatch(1);
+  private Door door;
   private volatile boolean listening;
 
   /** A node that is not listening yet. */
@@ -94,20 +100,29 @@
    */
   public static int serve(String configFile, String operatorFile) throws InterruptedException {
     NodeConfig config;
+    JsonObject shape;
     OperatorFile operator;
     try {
-      config = NodeConfig.load(configFile);
+      config = NodeConfig.load(configFile).managedAt(System.getenv("ROUTER_MANAGEMENT"));
+      shape = NodeConfig.text(configFile);
       operator = OperatorFile.load(operatorFile);
     } catch (FormatException e) {
       System.err.println("serve: " + e.getMessage());
       return 2;
     }
     Node node = new Node(config, operator);
+    try {
+      node.open();
+    } catch (IOException e) {
+      System.err.println("serve: " + e.getMessage());
+      node.close();
+      return 2;
+    }
     node.prepare();
     // Before it listens: who sees a node answer may signal it at once.
     Runtime.getRuntime().addShutdownHook(new Thread(node::drain, "drain"));
     try {
-      Hangup.on(() -> node.reload(configFile));
+      Hangup.on(() -> node.reload(configFile, shape));
     } catch (ReflectiveOperationException | IllegalArgumentException e) {
       node.log.line("no new configuration can be taken: " + e);
     }
@@ -124,18 +139,28 @@
   }
 
   /**
-   * Takes the discovery service's address from the file as it is now; all else in it holds from the
-   * next start on. Guards against a file that is half written or wrong: the old address stays.
+   * Opens the operators' door, where there is one: before all else, so that it tells of a start.
    */
-  void reload(String configFile) {
-    loop.execute(
-        () -> {
-          try {
-            balancer.discoverAt(NodeConfig.load(configFile).discovery());
-          } catch (FormatException e) {
-            log.line("configuration not taken, the old one holds: " + e.getMessage());
-          }
-        });
+  private void open() throws IOException, InterruptedException {
+    if (config.management() != null) {
+      door = Door.open(config.management(), transport.allocator(), new DoorKeeper(loop, balancer));
+    }
+  }
+
+  /**
+   * Takes the file as it is now, whole or not at all. Guards against one that is half written or
+   * wrong: the old configuration stays. One after the other, so that the newest file wins.
+   *
+   * @param shape what the file said at the start
+   */
+  synchronized void reload(String configFile, JsonObject shape) {
+    // Read and checked here: the request loop must not wait for a disk.
+    try {
+      NodeConfig next = NodeConfig.reload(configFile, shape);
+      loop.execute(() -> balancer.retune(next));
+    } catch (FormatException e) {
+      loop.execute(() -> balancer.notRetuned(e.getMessage()));
+    }
   }
 
   /**
@@ -146,6 +171,17 @@
   public static int rehearse(String operatorFile) throws InterruptedException {
     try (Node node = new Node(NodeConfig.rehearsal(), OperatorFile.load(operatorFile))) {
       node.start();
+      // At the door, too.
+      for (String call :
+          List.of("GET /api/ready", "GET /api/telemetry", "PUT /api/include?member=a")) {
+        try (Socket caller = new Socket()) {
+          caller.connect(node.door.address());
+          caller
+              .getOutputStream()
+              .write((call + " HTTP/1.1\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+          caller.getInputStream().readAllBytes();
+        }
+      }
       return 0;
     } catch (IOException | FormatException e) {
       System.err.println("rehearse: " + e.getMessage());
@@ -159,6 +195,7 @@
    * @throws IOException if it cannot listen where it is told to
    */
   public InetSocketAddress start() throws IOException, InterruptedException {
+    open();
     prepare();
     return listen();
   }
@@ -203,6 +240,11 @@
     return false;
   }
 
+  /** Where operators call, null for nowhere. */
+  public InetSocketAddress management() {
+    return door == null ? null : door.address();
+  }
+
   EventLoop loop() {
     return loop;
   }
@@ -225,6 +267,9 @@
   @Override
   public void close() {
     if (!group.isShuttingDown()) {
+      if (door != null) {
+        door.close();
+      }
       loop.submit(balancer::close).awaitUninterruptibly();
       group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
     }
--- a/engine/src/main/java/shalepaddle/upstream/ServerConnection.java
+++ b/engine/src/main/java/shalepaddle/upstream/ServerConnection.java
@@ -124,9 +124,15 @@
     ChannelFuture written =
         channel.writeAndFlush(codec.encode(channel.alloc(), attempt.call, millis));
     if (written.isDone()) {
-      attempt.written = written.isSuccess();
+      written(attempt, written.isSuccess());
     } else {
-      written.addListener(done -> attempt.written = done.isSuccess());
+      written.addListener(done -> written(attempt, done.isSuccess()));
+    }
+  }
+
+  private void written(Attempt attempt, boolean whole) {
+    if (whole) {
+      dispatcher.written(attempt);
     }
   }
 
--- a/engine/src/main/java/shalepaddle/upstream/ServerPool.java
+++ b/engine/src/main/java/shalepaddle/upstream/ServerPool.java
@@ -43,6 +43,9 @@
   private long cappedAt;
   private boolean retired;
 
+  /** Connections begun before that are not used. */
+  private long vacatedAt;
+
   ServerPool(
       Bootstrap bootstrap,
       ServerCodec codec,
@@ -58,6 +61,7 @@
     this.clock = dispatcher.clock();
     this.address = address;
     this.cap = limits.connections();
+    this.vacatedAt = clock.look() - 1;
   }
 
   /**
@@ -78,6 +82,12 @@
   /** The server has left: what is under way may end, and nothing new begins. */
   void retire() {
     retired = true;
+    vacate();
+  }
+
+  /** What waits goes back, and connections close as what is under way on them ends. */
+  void vacate() {
+    vacatedAt = clock.look();
     for (Attempt attempt = waiting.poll(); attempt != null; attempt = waiting.poll()) {
       dispatcher.ended(attempt, Outcome.Result.CONNECT_FAILED);
     }
@@ -159,7 +169,7 @@
           connecting--;
           if (done.isSuccess()) {
             connections.add(connection);
-            if (retired || !at.equals(address)) {
+            if (retired || began - vacatedAt <= 0 || !at.equals(address)) {
               // Guards against a connection that came up after the list had moved its server, or
               // dropped it: nobody would ever close it.
               connection.retire();
--- a/engine/src/main/java/shalepaddle/upstream/ServerPools.java
+++ b/engine/src/main/java/shalepaddle/upstream/ServerPools.java
@@ -15,6 +15,10 @@
 /** The connections to all cache servers, each known by the number that the module uses. */
 public final class ServerPools implements Upstream {
   private final Map<Long, ServerPool> pools = new HashMap<>();
+
+  /** Servers that an operator leaves out, also such as are not listed for now. */
+  private final Set<Long> excluded = new HashSet<>();
+
   private final Bootstrap bootstrap;
   private final ServerCodec codec;
   private final ServerPool.Limits limits;
@@ -61,12 +65,31 @@
     }
   }
 
+  /** Whether the server is listed, or left out by an operator. */
+  public boolean knows(long server) {
+    return pools.containsKey(server) || excluded.contains(server);
+  }
+
+  /**
+   * An operator leaves a server out, or puts it back. What waits for a connection to it goes back,
+   * never sent; what is under way may end, and no connection is used again.
+   */
+  public void exclude(long server, boolean out) {
+    if (!out) {
+      excluded.remove(server);
+    } else if (excluded.add(server) && pools.containsKey(server)) {
+      pools.get(server).vacate();
+    }
+  }
+
   @Override
   public void send(Attempt attempt) {
     if (attempt.over) {
       return;
     }
-    ServerPool pool = pools.get(attempt.server);
+    // It may have been decided before an operator's word, and waited since for the loop to catch
+    // up.
+    ServerPool pool = excluded.contains(attempt.server) ? null : pools.get(attempt.server);
     if (pool == null) {
       dispatcher.ended(attempt, Outcome.Result.CONNECT_FAILED);
     } else {
--- a/engine/src/test/java/shalepaddle/node/DiscoveryTest.java
+++ b/engine/src/test/java/shalepaddle/node/DiscoveryTest.java
@@ -10,6 +10,7 @@
 import java.nio.file.Path;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import shalepaddle.settings.JsonObject;
 import shalepaddle.testkit.ScriptedPeer;
 
 /** How a node follows the list of servers, over loopback sockets. */
@@ -125,15 +126,15 @@
       String text = rig.configText("").replace(old, "127.0.0.1:" + second.getLocalPort());
       // Half a file, and one without an address, leave what was there in force.
       Files.writeString(config, text.substring(0, text.length() / 2));
-      rig.node.reload(config.toString());
+      rig.node.reload(config.toString(), JsonObject.parse(text));
       Files.writeString(config, text.replaceAll("127.0.0.1:\\d+", "nowhere"));
-      rig.node.reload(config.toString());
+      rig.node.reload(config.toString(), JsonObject.parse(text));
       serveOne(rig, rig.cache, "between");
       first.close();
       ScriptedPeer again = rig.acceptDiscovery();
       assertEquals(WATCH.formatted(8), call(again));
       Files.writeString(config, text);
-      rig.node.reload(config.toString());
+      rig.node.reload(config.toString(), JsonObject.parse(text));
       try (ScriptedPeer moved = new ScriptedPeer(second.accept())) {
         assertEquals(WATCH.formatted(8), call(moved));
         assertTrue(again.ended());
--- a/settings/src/main/java/shalepaddle/settings/JsonObject.java
+++ b/settings/src/main/java/shalepaddle/settings/JsonObject.java
@@ -138,6 +138,15 @@
     return fields.get(name) != null;
   }
 
+  Map<String, Object> fields() {
+    return fields;
+  }
+
+  /** How many items an array has, 0 where it is absent. */
+  int size(String name) {
+    return fields.get(name) instanceof List<?> list ? list.size() : 0;
+  }
+
   /** The objects of an array, none where it is absent. */
   public List<JsonObject> objects(String name) {
     List<JsonObject> found = new ArrayList<>();
