Let a second process take over a node's listener, words, list and limits without loss

Change: package handover. The socket that ROUTER_LISTEN_FD names is accepted from and never closed; each process tells the other of itself in a checked file in TMPDIR (operators' words merged by time, the list, connections held, ready or draining). The old one, told to end while another is ready, stops accepting at once, ends connections right behind an answer, those that rest after a second.

UpgradeIT: 20 upgrades under load, nothing lost.

--- a/daemon/src/test/java/shalepaddle/daemon/ArchitectureTest.java
+++ b/daemon/src/test/java/shalepaddle/daemon/ArchitectureTest.java
@@ -120,6 +120,7 @@
           "config", List.of("joining", "membership", "model", "overload", "settings"),
           "engine", List.of("joining", "loop", "membership", "model", "overload", "policy"),
           "management", List.of("engine"),
+          "handover", List.of("membership", "model", "settings"),
           "upstream", List.of("engine", "loop", "membership", "model"),
           "front", List.of("engine", "loop", "model", "overload"),
           "codec", List.of("engine", "front", "upstream", "model"));
@@ -137,6 +138,7 @@
             "daemon",
             "node",
             "management",
+            "handover",
             "loop",
             "membership",
             "config",
--- a/daemon/src/test/java/shalepaddle/daemon/Callers.java
+++ b/daemon/src/test/java/shalepaddle/daemon/Callers.java
@@ -71,6 +71,25 @@
     leave = true;
   }
 
+  /** Clients ask for nothing more from now on. */
+  void finish() {
+    left.set(0);
+  }
+
+  /** Requests that crossed the end of their connection, and were asked once more. */
+  int crossed() {
+    return crossed.get();
+  }
+
+  /** As {@link #assertAllAnswered}, where processes were killed with what they had taken. */
+  void assertNoneLeftWaiting(Fleet fleet) {
+    assertEquals(0, running.getCount(), "clients still wait");
+    assertEquals(List.of(), List.copyOf(wrong));
+    for (String id : ids) {
+      assertTrue(fleet.executions(id) <= 1, id + " was carried out twice");
+    }
+  }
+
   int failedWrites() {
     return failedWrites.get();
   }
--- a/daemon/src/test/java/shalepaddle/daemon/DeployFile.java
+++ b/daemon/src/test/java/shalepaddle/daemon/DeployFile.java
@@ -11,13 +11,17 @@
 
   /** The command of this name, its errors among its output. */
   static ProcessBuilder command(String name) throws IOException {
+    return new ProcessBuilder(List.of("/bin/sh", "-c", shell(name))).redirectErrorStream(true);
+  }
+
+  /** The command of this name, as a shell takes it. */
+  static String shell(String name) throws IOException {
     String line =
         Files.readAllLines(Path.of("deploy/balancer.toml")).stream()
             .filter(text -> text.startsWith(name + " = "))
             .findFirst()
             .orElseThrow();
-    String shell = line.substring(line.indexOf('"') + 1, line.lastIndexOf('"'));
-    return new ProcessBuilder(List.of("/bin/sh", "-c", shell)).redirectErrorStream(true);
+    return line.substring(line.indexOf('"') + 1, line.lastIndexOf('"'));
   }
 
   /** Sends a signal, named without its SIG. */
--- /dev/null
+++ b/daemon/src/test/java/shalepaddle/daemon/UpgradeIT.java
@@ -0,0 +1,211 @@
+package shalepaddle.daemon;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * The real process replaced by another, under load, on a platform that holds the listening socket:
+ * no request is lost, no connection refused, whoever of the two dies or does not come up.
+ */
+@Timeout(180)
+class UpgradeIT {
+  private static final int UPGRADES = 20;
+
+  @TempDir private Path folder;
+
+  private int number;
+
+  /** One process and its door. */
+  private record Node(Platform.Started process, InetSocketAddress door) {
+    /** The status of a call, 0 where nobody answers. */
+    int call(String call) throws IOException {
+      return Integer.parseInt(answer(call + " HTTP/1.1\r\n\r\n", "0").split(" ")[0]);
+    }
+
+    String answer(String call, String none) throws IOException {
+      try (Socket socket = new Socket(door.getAddress(), door.getPort())) {
+        socket.setSoTimeout(2000);
+        socket.getOutputStream().write(call.getBytes(StandardCharsets.US_ASCII));
+        String all = new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+        return all.isEmpty() ? none : all.substring(9);
+      } catch (IOException e) {
+        return none;
+      }
+    }
+
+    Node awaitReady() throws Exception {
+      while (call("GET /api/ready") != 200) {
+        assertTrue(process.running(), "it ended before it was ready");
+        Thread.sleep(20);
+      }
+      return this;
+    }
+  }
+
+  private Node start(Platform platform, Fleet fleet, Map<String, String> changes) throws Exception {
+    int port;
+    try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      port = free.getLocalPort();
+    }
+    Path config = folder.resolve("config.json");
+    Files.writeString(
+        config,
+        """
+        {"listen":"127.0.0.1:%d","discovery":"127.0.0.1:%d","seed":"8c1f30d27a5be964",
+         "management":"127.0.0.1:1",
+         "limits":{"memory_mb":192,"sockets":512},"known":%s,
+         "settings":{"instances":1,"discovery":"push",
+          "caps":{"attempts-cap":3,"cancel":true,"parallel-tries":true,"multiplex":32,
+                  "connect-timeout":0.15,"conn-idle":60},
+          "contract":{"ask-within":10,"drain-grace":2,"cold-from":0.1,"warm-within":1},
+          "services":[{"name":"read","effect":"retryable","slo":0.75,"give-up":2},
+                      {"name":"put","effect":"fragile","slo":0.75,"give-up":2}]}}
+        """
+            .formatted(platform.address().getPort(), fleet.discoveryPort(), fleet.list()));
+    Map<String, String> environment = new HashMap<>();
+    environment.put("PATH", System.getenv("PATH"));
+    environment.put("ROUTER_CONFIG", config.toString());
+    environment.put("ROUTER_LISTEN_FD", "0");
+    environment.put("ROUTER_MANAGEMENT", "127.0.0.1:" + port);
+    environment.put("TMPDIR", folder.toString());
+    environment.putAll(changes);
+    Platform.Started process =
+        platform.start(DeployFile.shell("run"), environment, folder.resolve("log-" + number++));
+    return new Node(process, new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+  }
+
+  private Node start(Platform platform, Fleet fleet) throws Exception {
+    return start(platform, fleet, Map.of());
+  }
+
+  private String log(int process) throws IOException {
+    return Files.readString(folder.resolve("log-" + process));
+  }
+
+  @Test
+  void losesNothingInTwentyUpgrades() throws Exception {
+    try (Platform platform = new Platform();
+        Fleet fleet = new Fleet(4)) {
+      Node node = start(platform, fleet).awaitReady();
+      try (Callers callers = new Callers(platform.address(), 60, 1_000_000)) {
+        callers.await(300);
+        long most = 0;
+        for (int i = 0; i < UPGRADES; i++) {
+          Node next = start(platform, fleet).awaitReady();
+          most =
+              Math.max(
+                  most, node.process().residentKilobytes() + next.process().residentKilobytes());
+          node.process().signal(Platform.TERM);
+          // By then the platform kills it: the longest deadline, and 0.7 s.
+          assertTrue(node.process().awaitEnd(2700), "the old process goes on");
+          assertTrue(log(i).contains("handing over") && log(i).endsWith("drained\n"), log(i));
+          node = next;
+        }
+        callers.finish();
+        assertTrue(callers.await(20_000));
+        callers.assertAllAnswered(0, fleet);
+        assertTrue(callers.crossed() <= 2 * UPGRADES, callers.crossed() + " crossed an end");
+        assertTrue(most < 220_000, most + " kB in two processes");
+      }
+    }
+  }
+
+  @Test
+  void theOldOneGoesOnWhereTheNewOneDiesOrDoesNotStart() throws Exception {
+    try (Platform platform = new Platform();
+        Fleet fleet = new Fleet(4)) {
+      Node node = start(platform, fleet).awaitReady();
+      try (Callers callers = new Callers(platform.address(), 60, 1_000_000)) {
+        Node wrong = start(platform, fleet, Map.of("ROUTER_LISTEN_FD", "7"));
+        assertTrue(wrong.process().awaitEnd(20_000));
+        assertTrue(log(1).contains("ROUTER_LISTEN_FD names descriptor '7'"), log(1));
+        wrong = start(platform, fleet, Map.of("ROUTER_MANAGEMENT", address(node.door())));
+        assertTrue(wrong.process().awaitEnd(20_000));
+        assertTrue(log(2).contains("cannot listen on"), log(2));
+        SplittableRandom random = new SplittableRandom(5);
+        for (int i = 0; i < 4; i++) {
+          Node killed = start(platform, fleet);
+          Thread.sleep(random.nextInt(700));
+          killed.process().signal(Platform.KILL);
+          assertTrue(killed.process().awaitEnd(5000));
+        }
+        assertTrue(node.process().running());
+        assertEquals(200, node.call("GET /api/ready"));
+        callers.finish();
+        assertTrue(callers.await(20_000));
+        // What a killed process had taken is its clients' to ask again.
+        callers.assertNoneLeftWaiting(fleet);
+      }
+    }
+  }
+
+  @Test
+  void operatorsWordsHoldInBothProcessesWhicheverHeardThem() throws Exception {
+    try (Platform platform = new Platform();
+        Fleet fleet = new Fleet(4)) {
+      Node old = start(platform, fleet).awaitReady();
+      assertEquals(200, old.call("PUT /api/exclude?member=s-1"));
+      Node next = start(platform, fleet).awaitReady();
+      awaitEjected(next, 1);
+      assertEquals(200, next.call("PUT /api/exclude?member=s-2"));
+      awaitEjected(old, 2);
+      assertEquals(200, old.call("PUT /api/include?member=s-1"));
+      awaitEjected(next, 1);
+      // A process that is killed has told; one that comes later than that begins with it.
+      old.process().signal(Platform.KILL);
+      next.process().signal(Platform.KILL);
+      assertTrue(old.process().awaitEnd(5000) && next.process().awaitEnd(5000));
+      Node last = start(platform, fleet).awaitReady();
+      awaitEjected(last, 1);
+      assertEquals(200, last.call("PUT /api/include?member=s-2"));
+      awaitEjected(last, 0);
+    }
+  }
+
+  @Test
+  void filesThatAreStaleOrDamagedDelayNobody() throws Exception {
+    Files.writeString(folder.resolve("shalepaddle-1.process"), "shalepaddle-process-1 9 0\nhalf");
+    Files.writeString(folder.resolve("shalepaddle-2.process"), "from another version");
+    Files.createDirectory(folder.resolve("shalepaddle-3.process"));
+    try (Platform platform = new Platform();
+        Fleet fleet = new Fleet(2)) {
+      Node node = start(platform, fleet).awaitReady();
+      // Nobody takes over: it drains as ever, and accepts meanwhile.
+      node.process().signal(Platform.TERM);
+      assertFalse(node.process().awaitEnd(1000), "it ended at once");
+      assertTrue(node.process().awaitEnd(2700));
+      assertTrue(log(0).contains("draining") && log(0).endsWith("drained\n"), log(0));
+    }
+  }
+
+  private static String address(InetSocketAddress address) {
+    return address.getAddress().getHostAddress() + ":" + address.getPort();
+  }
+
+  private static void awaitEjected(Node node, int count) throws Exception {
+    for (int i = 0; i < 200; i++) {
+      String text = node.answer("GET /api/telemetry HTTP/1.1\r\n\r\n", "");
+      if (text.contains("\napp_ejected " + count + "\n")) {
+        return;
+      }
+      Thread.sleep(20);
+    }
+    throw new AssertionError("never " + count + " ejected");
+  }
+}
--- a/engine/src/main/java/shalepaddle/config/NodeConfig.java
+++ b/engine/src/main/java/shalepaddle/config/NodeConfig.java
@@ -117,6 +117,12 @@
     return config.has("management") ? MemberList.address(config.requiredText("management")) : null;
   }
 
+  /** The same, where this is known of the list of servers. */
+  public NodeConfig knowing(MemberList list) {
+    return new NodeConfig(
+        listen, management, discovery, seed, sockets, memoryMb, cores, list, settings);
+  }
+
   /** The same, with other settings. */
   public NodeConfig with(Settings next) {
     return new NodeConfig(
--- a/engine/src/main/java/shalepaddle/front/ClientConnections.java
+++ b/engine/src/main/java/shalepaddle/front/ClientConnections.java
@@ -72,7 +72,7 @@
   /** Connections looked at for one that can give way; those with bytes to read can not. */
   private static final int MAX_LOOKED_AT = 16;
 
-  private final int limit;
+  private int limit;
   private final LoopClock clock;
   private final Map<Standing, LinkedHashMap<ClientHandler, Long>> open =
       new EnumMap<>(Standing.class);
@@ -88,6 +88,11 @@
     }
   }
 
+  /** Holds so many at most from now on; those that are there stay. */
+  public void limit(int connections) {
+    limit = Math.max(1, connections);
+  }
+
   /** Makes room for one more connection; false if no other can give way. */
   public boolean admit() {
     if (size() < limit) {
@@ -206,14 +211,19 @@
     return expired;
   }
 
-  /** From now on closes each connection as it falls idle; runs the step when none is left. */
-  public void drain(EventLoop loop, Runnable then) {
+  /**
+   * From now on closes each connection as it falls idle, right behind its last answer, and in so
+   * many milliseconds those that rest; runs the step when none is left. A client that asks
+   * meanwhile never meets the end of its connection; the longer one has rested, the less likely it
+   * asks in the very moment in which it is closed.
+   */
+  public void drain(EventLoop loop, long restMillis, Runnable then) {
     draining = true;
     whenEmpty = then;
     if (size() == 0) {
       then.run();
     } else {
-      closeNext(loop);
+      loop.schedule(() -> closeNext(loop), restMillis, TimeUnit.MILLISECONDS);
     }
   }
 
--- a/engine/src/main/java/shalepaddle/front/ClientFront.java
+++ b/engine/src/main/java/shalepaddle/front/ClientFront.java
@@ -53,8 +53,16 @@
     return clients.size();
   }
 
-  /** From now on closes each connection as it falls idle; runs the step when none is left. */
-  public void drain(EventLoop loop, Runnable then) {
-    clients.drain(loop, then);
+  /**
+   * From now on closes each connection as it falls idle, and in so many milliseconds those that
+   * rest by then; runs the step when none is left.
+   */
+  public void drain(EventLoop loop, long restMillis, Runnable then) {
+    clients.drain(loop, restMillis, then);
+  }
+
+  /** Holds so many connections at most from now on; those that are there stay. */
+  public void limit(int connections) {
+    clients.limit(connections);
   }
 }
--- a/engine/src/main/java/shalepaddle/front/ClientListener.java
+++ b/engine/src/main/java/shalepaddle/front/ClientListener.java
@@ -4,11 +4,41 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
+import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
 import java.util.List;
 
 /** Accepts clients on connections that can tell whether bytes wait on them. */
 public final class ClientListener extends NioServerSocketChannel {
+  private final boolean inherited;
+
+  /** One that is to be bound. */
+  public ClientListener() {
+    inherited = false;
+  }
+
+  /** One that listens already, which is shared with other processes and so never closed. */
+  public ClientListener(ServerSocketChannel listening) {
+    super(listening);
+    inherited = true;
+  }
+
+  /** Looks for new connections no more. */
+  public void stop() {
+    if (inherited) {
+      deregister();
+    } else {
+      close();
+    }
+  }
+
+  @Override
+  protected void doClose() throws Exception {
+    if (!inherited) {
+      super.doClose();
+    }
+  }
+
   /** A client's connection. */
   private static final class Connection extends NioSocketChannel {
     Connection(Channel parent, SocketChannel socket) {
--- /dev/null
+++ b/engine/src/main/java/shalepaddle/handover/Handover.java
@@ -0,0 +1,102 @@
+package shalepaddle.handover;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import shalepaddle.handover.ProcessFiles.Others;
+import shalepaddle.membership.MemberList;
+
+/**
+ * Keeps the processes of one node told of each other, on a thread of its own: looks for news every
+ * {@link #LOOK_MILLIS}, and tells of this process when it has changed or some time has passed.
+ */
+public final class Handover implements AutoCloseable {
+  static final long LOOK_MILLIS = 50;
+
+  /** Looks after which this process is told of anew though nothing has changed. */
+  private static final int BEAT = 10;
+
+  /** Takes news of other processes in, on the handover's thread. */
+  public interface Listener {
+    /** What the others have told by now; the same may come again. */
+    void told(List<Word> words, int clients, int serverConnections);
+  }
+
+  private final ProcessFiles files;
+  private final Supplier<ProcessState> self;
+  private final Listener listener;
+  private final ScheduledExecutorService thread =
+      Executors.newSingleThreadScheduledExecutor(
+          task -> {
+            Thread made = new Thread(task, "handover");
+            made.setDaemon(true);
+            return made;
+          });
+  private ProcessState lastTold;
+  private int looks;
+
+  /**
+   * Not begun.
+   *
+   * @param self the newest state of this process, from any thread
+   */
+  public Handover(ProcessFiles files, Supplier<ProcessState> self, Listener listener) {
+    this.files = files;
+    this.self = self;
+    this.listener = listener;
+  }
+
+  /** Begins to look and to tell. */
+  public void start() {
+    thread.scheduleWithFixedDelay(this::look, 0, LOOK_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  private void look() {
+    try {
+      tell();
+      Others others = files.others();
+      int clients = 0;
+      int connections = 0;
+      for (ProcessState partner : others.partners()) {
+        clients += partner.clients();
+        connections += partner.serverConnections();
+      }
+      listener.told(others.words(), clients, connections);
+    } catch (RuntimeException e) {
+      // Whatever fails here must not end the looking; the files complain for themselves.
+    }
+  }
+
+  /** Tells of this process now, where it has changed; returns when it is told or has failed. */
+  public synchronized void tell() {
+    ProcessState state = self.get();
+    if (!state.equals(lastTold) || ++looks >= BEAT) {
+      looks = 0;
+      lastTold = state;
+      files.tell(state);
+    }
+  }
+
+  /** Whether another process of this node is there for clients, as of now. */
+  public boolean successorReady() {
+    return files.others().partners().stream()
+        .anyMatch(partner -> partner.stage() == ProcessState.Stage.READY);
+  }
+
+  /** The newest list that a living process has, null if there is none. */
+  public static MemberList listOf(Others others) {
+    return others.partners().stream()
+        .map(ProcessState::list)
+        .filter(list -> list != null)
+        .max(Comparator.comparingLong(MemberList::version))
+        .orElse(null);
+  }
+
+  @Override
+  public void close() {
+    thread.shutdownNow();
+  }
+}
--- /dev/null
+++ b/engine/src/main/java/shalepaddle/handover/Word.java
@@ -0,0 +1,19 @@
+package shalepaddle.handover;
+
+/**
+ * An operator's last word on a cache server.
+ *
+ * @param server its number
+ * @param out whether it is left out, or put back
+ * @param atMillis when that was said, in milliseconds since 1970
+ */
+public record Word(long server, boolean out, long atMillis) {
+  /**
+   * Whether this word goes before another on the same server; of two at once, the one that bars.
+   */
+  boolean after(Word other) {
+    return other == null
+        || atMillis > other.atMillis
+        || atMillis == other.atMillis && out && !other.out;
+  }
+}
--- /dev/null
+++ b/engine/src/main/java/shalepaddle/handover/Words.java
@@ -0,0 +1,54 @@
+package shalepaddle.handover;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The last word on each server, whichever process of the node heard it. Merging is commutative,
+ * associative and idempotent (a map of last-writer-wins registers), so that two processes that read
+ * each other's words in any order, once or often, come to hold the same.
+ *
+ * <p>Bounded: past the bound the oldest word that puts a server back is forgotten, which changes
+ * nothing but for a partner that has not heard it yet. Not thread-safe.
+ */
+public final class Words {
+  private static final int MOST = 4096;
+
+  private final Map<Long, Word> last = new LinkedHashMap<>();
+
+  /** Takes a word; true if it is news. */
+  public boolean say(Word word) {
+    Word before = last.get(word.server());
+    if (!word.after(before)) {
+      return false;
+    }
+    last.remove(word.server());
+    last.put(word.server(), word);
+    if (last.size() > MOST) {
+      last.values().stream()
+          .filter(old -> !old.out())
+          .findFirst()
+          .ifPresent(old -> last.remove(old.server()));
+    }
+    return before == null ? word.out() : before.out() != word.out();
+  }
+
+  /** Takes another process's words; returns those that change what holds. */
+  public List<Word> merge(Collection<Word> others) {
+    List<Word> news = new ArrayList<>();
+    for (Word word : others) {
+      if (say(word)) {
+        news.add(word);
+      }
+    }
+    return news;
+  }
+
+  /** All of them, oldest first. */
+  public List<Word> all() {
+    return List.copyOf(last.values());
+  }
+}
--- a/engine/src/main/java/shalepaddle/node/DoorKeeper.java
+++ b/engine/src/main/java/shalepaddle/node/DoorKeeper.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import shalepaddle.management.Operated;
 import shalepaddle.management.Telemetry;
@@ -11,15 +12,17 @@
 final class DoorKeeper implements Operated {
   private final EventLoop loop;
   private final LoadBalancer balancer;
+  private final BooleanSupplier ready;
 
-  DoorKeeper(EventLoop loop, LoadBalancer balancer) {
+  DoorKeeper(EventLoop loop, LoadBalancer balancer, BooleanSupplier ready) {
+    this.ready = ready;
     this.loop = loop;
     this.balancer = balancer;
   }
 
   @Override
   public boolean ready() {
-    return balancer.ready();
+    return ready.getAsBoolean();
   }
 
   @Override
--- a/engine/src/main/java/shalepaddle/node/LoadBalancer.java
+++ b/engine/src/main/java/shalepaddle/node/LoadBalancer.java
@@ -4,8 +4,11 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import java.net.SocketAddress;
+import java.nio.channels.ServerSocketChannel;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import shalepaddle.codec.meta.MetaClientCodec;
 import shalepaddle.codec.meta.MetaServerCodec;
@@ -15,7 +18,11 @@
 import shalepaddle.engine.Engine;
 import shalepaddle.engine.MemoryBudget;
 import shalepaddle.front.ClientFront;
+import shalepaddle.front.ClientListener;
 import shalepaddle.front.Gate;
+import shalepaddle.handover.ProcessState;
+import shalepaddle.handover.Word;
+import shalepaddle.handover.Words;
 import shalepaddle.joining.JoiningReading;
 import shalepaddle.loop.Clock;
 import shalepaddle.loop.Log;
@@ -82,6 +89,9 @@
    */
   private static final long KILL_MILLIS = 700;
 
+  /** How long clients may rest before their connections end, where another process took over. */
+  private static final long REST_MILLIS = 1000;
+
   private static final long ANSWERED_MILLIS = 150;
   private static final long RELEASE_MILLIS = 450;
 
@@ -99,14 +109,21 @@
   private final MetaClientCodec codec;
   private final OverloadControl overload;
   private final ProcessorUse processor;
+  private final long pid = ProcessHandle.current().pid();
   private Channel listener;
+  private final Words words = new Words();
+  private final Map<Long, MemberList.Member> members = new TreeMap<>();
+  private MemberList whole;
+  private boolean handedOver;
   private long trimmedAt;
   private volatile OverloadReading reading;
   private volatile JoiningReading joining;
   private volatile Telemetry telemetry;
   private volatile boolean accepting;
+  private volatile ProcessState process;
   private long hangupsApplied;
   private long hangupsRejected;
+  private boolean draining;
   private boolean closed;
 
   /** One that opens as many connections to each server as its part of the tier allows. */
@@ -150,7 +167,6 @@
         new Dispatcher(
             settings, config.seed(), loop, clock, time, log, overload, operator.joining());
     joining = dispatcher.joining();
-    telemetry = telemetryNow();
     engine = new Engine(loop, dispatcher, MAX_SUBMITTED);
     pools =
         new ServerPools(
@@ -173,6 +189,7 @@
     front =
         new ClientFront(
             dispatcher, codec, (int) (config.sockets() * CLIENT_SHARE), overload::posture);
+    publish();
   }
 
   /** Asks whether a request is admitted, at the time of the loop. */
@@ -224,6 +241,17 @@
   }
 
   private void take(MemberList list, MembershipUpdate.Kind kind) {
+    if (list.full()) {
+      members.clear();
+    }
+    for (MemberList.Member member : list.members()) {
+      if (member.address() == null) {
+        members.remove(member.entry().id());
+      } else {
+        members.put(member.entry().id(), member);
+      }
+    }
+    whole = new MemberList(true, list.version(), List.copyOf(members.values()));
     pools.update(list, time.now());
     dispatcher.membership(list.update(kind));
   }
@@ -239,17 +267,25 @@
 
   /** Listens for clients there; the future tells of the bound channel. */
   public ChannelFuture listen(SocketAddress address) {
-    ChannelFuture bound = transport.acceptor(loop).childHandler(front).bind(address);
-    bound.addListener(
+    return listens(transport.acceptor(loop).childHandler(front).bind(address));
+  }
+
+  /** Takes clients from a socket that listens already, and is shared with other processes. */
+  public ChannelFuture listen(ServerSocketChannel listening) {
+    return listens(transport.acceptor(loop, listening).childHandler(front).register());
+  }
+
+  private ChannelFuture listens(ChannelFuture begun) {
+    begun.addListener(
         done -> {
           if (done.isSuccess()) {
-            listener = bound.channel();
+            listener = begun.channel();
             accepting = true;
             sweepLater();
             measure();
           }
         });
-    return bound;
+    return begun;
   }
 
   /** Reads how much of its limits the process uses, again and again. */
@@ -269,7 +305,7 @@
         now);
     reading = overload.reading();
     joining = dispatcher.joining();
-    telemetry = telemetryNow();
+    publish();
     if (overload.posture().trims() && now - trimmedAt > TRIM_NANOS) {
       trimmedAt = now;
       transport.trim();
@@ -316,18 +352,52 @@
     if (!closed) {
       sweepLater();
       front.sweep();
-      pools.closeStale(clock.look(), overload.posture().idleNanos());
+      // Who takes this process's place needs the servers' places.
+      pools.closeStale(clock.look(), handedOver ? 0 : overload.posture().idleNanos());
       pools.closeStalled();
     }
   }
 
-  private Telemetry telemetryNow() {
-    return new Telemetry(
-        dispatcher.figures().reading(),
-        dispatcher.listed(false),
-        dispatcher.listed(true),
-        hangupsApplied,
-        hangupsRejected);
+  /** Lets other threads see how things stand now. */
+  private void publish() {
+    telemetry =
+        new Telemetry(
+            dispatcher.figures().reading(),
+            dispatcher.listed(false),
+            dispatcher.listed(true),
+            hangupsApplied,
+            hangupsRejected);
+    process =
+        new ProcessState(
+            pid,
+            draining
+                ? ProcessState.Stage.DRAINING
+                : accepting ? ProcessState.Stage.READY : ProcessState.Stage.STARTING,
+            front.size(),
+            pools.connections(),
+            words.all(),
+            whole);
+  }
+
+  /** What other processes of this node are told, as it stood some milliseconds ago. Any thread. */
+  public ProcessState process() {
+    return process;
+  }
+
+  /**
+   * Another process of this node has told of operators' words, and of the connections that it
+   * holds: to every limit both are one.
+   */
+  public void partnered(List<Word> theirs, int clients, int serverConnections) {
+    words.merge(theirs).forEach(this::apply);
+    front.limit((int) (config.sockets() * CLIENT_SHARE) - clients);
+    pools.elsewhere(serverConnections);
+  }
+
+  private void apply(Word word) {
+    pools.exclude(word.server(), word.out());
+    dispatcher.exclude(word.server(), word.out());
+    publish();
   }
 
   /** What operators see, as it stood some milliseconds ago. From any thread. */
@@ -350,9 +420,9 @@
       return false;
     }
     log.line(member + (out ? " left out" : " put back") + " by hand");
-    pools.exclude(server, out);
-    dispatcher.exclude(server, out);
-    telemetry = telemetryNow();
+    Word word = new Word(server, out, (long) (time.now() * 1e3));
+    words.say(word);
+    apply(word);
     return true;
   }
 
@@ -370,14 +440,14 @@
     config = config.with(settings);
     discovery.moveTo(next.discovery());
     hangupsApplied++;
-    telemetry = telemetryNow();
+    publish();
   }
 
   /** A configuration was turned down. */
   public void notRetuned(String why) {
     log.line("configuration not taken, the old one holds: " + why);
     hangupsRejected++;
-    telemetry = telemetryNow();
+    publish();
   }
 
   /** A turn of the loop ends that began then, see {@link LoopClock.Listener#turned}. */
@@ -409,22 +479,45 @@
    * whoever waits for a restart that could have been quicker.
    */
   public void drain(Runnable then) {
-    accepting = false;
+    beginDrain();
     long answered = drainMillis();
     dispatcher.answerBy(clock.now() + TimeUnit.MILLISECONDS.toNanos(answered));
     loop.schedule(this::stopAccepting, ACCEPT_MILLIS, TimeUnit.MILLISECONDS);
     loop.schedule(
         () -> {
           log.line("draining " + front.size() + " client connections");
-          front.drain(loop, then);
+          front.drain(loop, 0, then);
         },
         Math.max(ACCEPT_MILLIS, answered - RELEASE_MILLIS),
         TimeUnit.MILLISECONDS);
   }
 
+  /**
+   * Another process of this node has taken over: accepts no more from now on, ends each connection
+   * right behind its next answer and those that rest after a while, and runs the step when all is
+   * answered. Not for the longest time that it may take: meanwhile both hold memory, connections
+   * and places at servers.
+   */
+  public void handOver(Runnable then) {
+    beginDrain();
+    handedOver = true;
+    dispatcher.answerBy(clock.now() + TimeUnit.MILLISECONDS.toNanos(drainMillis()));
+    stopAccepting();
+    log.line("handing over " + front.size() + " client connections");
+    front.drain(loop, REST_MILLIS, then);
+  }
+
+  private void beginDrain() {
+    accepting = false;
+    draining = true;
+    publish();
+  }
+
   /** Accepts no more clients; those that are there are served on. */
   private void stopAccepting() {
-    if (listener != null) {
+    if (listener instanceof ClientListener shared) {
+      shared.stop();
+    } else if (listener != null) {
       listener.close();
     }
   }
--- a/engine/src/main/java/shalepaddle/node/Node.java
+++ b/engine/src/main/java/shalepaddle/node/Node.java
@@ -8,7 +8,9 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.nio.channels.ServerSocketChannel;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -16,11 +18,16 @@
 import shalepaddle.config.OperatorFile;
 import shalepaddle.engine.Dispatcher;
 import shalepaddle.engine.Engine;
+import shalepaddle.handover.Handover;
+import shalepaddle.handover.InheritedListener;
+import shalepaddle.handover.ProcessFiles;
+import shalepaddle.handover.Word;
 import shalepaddle.loop.Clock;
 import shalepaddle.loop.Log;
 import shalepaddle.loop.LoopClock;
 import shalepaddle.loop.WatchedIoHandler;
 import shalepaddle.management.Door;
+import shalepaddle.membership.MemberList;
 import shalepaddle.overload.OverloadReading;
 import shalepaddle.settings.FormatException;
 import shalepaddle.settings.JsonObject;
@@ -45,6 +52,14 @@
   private final LoadBalancer balancer;
   private final CountDownLatch drained = new CountDownLatch(1);
   private Door door;
+
+  /** The listener that the platform holds and hands down, null where the node has its own. */
+  private final ServerSocketChannel inherited;
+
+  /** Null where no other process of this node can be. */
+  private final ProcessFiles files;
+
+  private Handover handover;
   private volatile boolean listening;
 
   /** A node that is not listening yet. */
@@ -54,6 +69,17 @@
 
   /** A node that opens so many connections to each server. */
   Node(NodeConfig config, OperatorFile operator, int connections) {
+    this(config, operator, connections, null, null);
+  }
+
+  private Node(
+      NodeConfig config,
+      OperatorFile operator,
+      int connections,
+      ServerSocketChannel inherited,
+      ProcessFiles files) {
+    this.inherited = inherited;
+    this.files = files;
     this.config = config;
     clock = new LoopClock(Ticker.systemTicker(), new Pauses());
     group = group(clock);
@@ -110,7 +136,19 @@
       System.err.println("serve: " + e.getMessage());
       return 2;
     }
-    Node node = new Node(config, operator);
+    ServerSocketChannel inherited;
+    try {
+      inherited = InheritedListener.named(System.getenv("ROUTER_LISTEN_FD"));
+    } catch (IOException e) {
+      System.err.println("serve: " + e.getMessage());
+      return 2;
+    }
+    ProcessFiles files = inherited == null ? null : files(System.getenv("TMPDIR"));
+    if (files != null) {
+      MemberList newer = Handover.listOf(files.others());
+      config = newer == null ? config : config.knowing(newer);
+    }
+    Node node = new Node(config, operator, LoadBalancer.connections(config), inherited, files);
     try {
       node.open();
     } catch (IOException e) {
@@ -129,7 +167,7 @@
     try {
       node.listen();
     } catch (IOException e) {
-      System.err.println("serve: cannot listen on " + config.listen() + ": " + e.getMessage());
+      System.err.println("serve: cannot listen on " + node.config.listen() + ": " + e.getMessage());
       node.close();
       // Not by way of the shutdown hook: there is nothing to drain.
       Runtime.getRuntime().halt(2);
@@ -138,12 +176,29 @@
     return 0;
   }
 
+  private static ProcessFiles files(String folder) {
+    if (folder == null || folder.isEmpty()) {
+      System.err.println("without TMPDIR, other processes of this node are not told of");
+      return null;
+    }
+    return new ProcessFiles(
+        Path.of(folder),
+        ProcessHandle.current().pid(),
+        System::currentTimeMillis,
+        pid -> ProcessHandle.of(pid).map(ProcessHandle::isAlive).orElse(false),
+        line -> System.err.println(line));
+  }
+
   /**
    * Opens the operators' door, where there is one: before all else, so that it tells of a start.
    */
   private void open() throws IOException, InterruptedException {
     if (config.management() != null) {
-      door = Door.open(config.management(), transport.allocator(), new DoorKeeper(loop, balancer));
+      door =
+          Door.open(
+              config.management(),
+              transport.allocator(),
+              new DoorKeeper(loop, balancer, () -> listening && balancer.ready()));
     }
   }
 
@@ -204,20 +259,45 @@
   private void prepare() throws InterruptedException {
     Warmup.run(config, transport, log);
     loop.submit(balancer::start).await();
+    if (files != null) {
+      // Before the first request: what operators have said holds for every process of the node.
+      List<Word> words = files.others().words();
+      loop.submit(() -> balancer.partnered(words, 0, 0)).await();
+      handover =
+          new Handover(
+              files,
+              balancer::process,
+              (theirs, clients, servers) ->
+                  loop.execute(() -> balancer.partnered(theirs, clients, servers)));
+      handover.start();
+    }
   }
 
   private InetSocketAddress listen() throws IOException, InterruptedException {
-    ChannelFuture bound = balancer.listen(config.listen()).await();
+    ChannelFuture bound =
+        (inherited == null ? balancer.listen(config.listen()) : balancer.listen(inherited)).await();
     if (!bound.isSuccess()) {
       throw new IOException(bound.cause().getMessage());
     }
+    if (handover != null) {
+      // First: whoever hears that this one is ready may end the other at once.
+      handover.tell();
+    }
     listening = true;
     return (InetSocketAddress) bound.channel().localAddress();
   }
 
   /** A planned restart; returns when all is answered. */
   void drain() {
-    loop.execute(() -> balancer.drain(drained::countDown));
+    boolean successor = handover != null && handover.successorReady();
+    loop.execute(
+        () -> {
+          if (successor) {
+            balancer.handOver(drained::countDown);
+          } else {
+            balancer.drain(drained::countDown);
+          }
+        });
     try {
       boolean whole = awaitDrained(balancer.drainMillis() + LINGER_MILLIS);
       log.line(whole ? "drained" : "not drained in time, " + balancer.clients() + " left");
@@ -270,6 +350,9 @@
       if (door != null) {
         door.close();
       }
+      if (handover != null) {
+        handover.close();
+      }
       loop.submit(balancer::close).awaitUninterruptibly();
       group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
     }
--- a/engine/src/main/java/shalepaddle/node/Transport.java
+++ b/engine/src/main/java/shalepaddle/node/Transport.java
@@ -5,10 +5,12 @@
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.PooledByteBufAllocator;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
+import io.netty.channel.ChannelFactory;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.internal.PlatformDependent;
+import java.nio.channels.ServerSocketChannel;
 import shalepaddle.front.ClientListener;
 
 /** How a node opens connections and accepts them: over sockets, or within one process. */
@@ -30,6 +32,11 @@
   /** Accepts clients; the caller says what is done with each connection. */
   ServerBootstrap acceptor(EventLoop loop);
 
+  /** Accepts clients from a socket that listens already, and is to be registered, not bound. */
+  default ServerBootstrap acceptor(EventLoop loop, ServerSocketChannel listening) {
+    throw new UnsupportedOperationException("no sockets here");
+  }
+
   /** TCP sockets by the selector of the Java platform. */
   static Transport sockets() {
     PooledByteBufAllocator allocator =
@@ -63,9 +70,18 @@
 
       @Override
       public ServerBootstrap acceptor(EventLoop loop) {
+        return acceptor(loop, ClientListener::new);
+      }
+
+      @Override
+      public ServerBootstrap acceptor(EventLoop loop, ServerSocketChannel listening) {
+        return acceptor(loop, () -> new ClientListener(listening));
+      }
+
+      private ServerBootstrap acceptor(EventLoop loop, ChannelFactory<ClientListener> listener) {
         return new ServerBootstrap()
             .group(loop)
-            .channelFactory(ClientListener::new)
+            .channelFactory(listener)
             .option(ChannelOption.SO_BACKLOG, 1024)
             .childOption(ChannelOption.ALLOCATOR, allocator)
             .childOption(ChannelOption.TCP_NODELAY, true)
--- a/engine/src/main/java/shalepaddle/upstream/ConnectionBudget.java
+++ b/engine/src/main/java/shalepaddle/upstream/ConnectionBudget.java
@@ -2,27 +2,35 @@
 
 /** Connections to cache servers that the node may hold at once, over all servers together. */
 final class ConnectionBudget {
-  private int free;
+  private final int total;
+  private int taken;
+
+  /** What another process of this node holds of the total. */
+  private int elsewhere;
 
   ConnectionBudget(int connections) {
-    this.free = connections;
+    this.total = connections;
   }
 
   /** Whether there is room for more than a server's first connection. */
   boolean hasRoom() {
-    return free > 0;
+    return taken + elsewhere < total;
+  }
+
+  int taken() {
+    return taken;
   }
 
-  int free() {
-    return free;
+  void elsewhere(int connections) {
+    elsewhere = connections;
   }
 
   /** One more is open, or on its way. */
   void take() {
-    free--;
+    taken++;
   }
 
   void release() {
-    free++;
+    taken--;
   }
 }
--- a/engine/src/main/java/shalepaddle/upstream/ServerPools.java
+++ b/engine/src/main/java/shalepaddle/upstream/ServerPools.java
@@ -125,7 +125,12 @@
 
   /** Connections that are open or on their way, all servers together. */
   public int connections() {
-    return limits.total() - budget.free();
+    return budget.taken();
+  }
+
+  /** Another process of this node holds so many of those that both may have together. */
+  public void elsewhere(int connections) {
+    budget.elsewhere(connections);
   }
 
   /** Closes connections on which a reply began and does not go on. */
