Keep clients' places for what is worth more while most wait for answers

Logged every 300 ms: at 14.4 to 14.9 s 79 to 96 of a node's connections were owed answers by slow servers, 128 (a third of 384) is all that clients may hold, and while one process hands over its waiting 94 count beside the other's.

--- a/core/src/main/java/shalepaddle/overload/OverloadControl.java
+++ b/core/src/main/java/shalepaddle/overload/OverloadControl.java
@@ -28,6 +28,7 @@
   private TenantShares shares;
   private final RepeatGuess guess = new RepeatGuess();
   private Posture posture = Posture.CALM;
+  private double places;
   private double stood;
   private double processor = Double.NaN;
   private double memory;
@@ -106,7 +107,12 @@
 
   /** Whether requests may be refused now. */
   public boolean shedding() {
-    return admission.limited();
+    return admission.limited() || places >= Places.LEAST_FROM;
+  }
+
+  /** Of the connections that clients may hold for requests, this part waits for answers now. */
+  public void places(double taken) {
+    places = tuning.sheds() ? taken : 0;
   }
 
   /**
@@ -125,6 +131,9 @@
       return ADMITTED;
     }
     boolean pastShare = shares.pastShare(tenant, now);
+    if (Places.refuses(tiers.of(serviceClass, marked, pastShare), tiers.count(), places)) {
+      return advice();
+    }
     if (!admission.limited()) {
       // Counted, and a repeat is of no matter yet: nothing was refused here.
       admission.admits(tiers.of(serviceClass, marked, pastShare), marked);
--- a/engine/src/main/java/shalepaddle/front/ClientConnections.java
+++ b/engine/src/main/java/shalepaddle/front/ClientConnections.java
@@ -142,6 +142,11 @@
     }
   }
 
+  /** Connections on which an answer is owed. */
+  public int owed() {
+    return open.get(Standing.OWED).size();
+  }
+
   public int size() {
     int size = 0;
     for (var clients : open.values()) {
--- a/engine/src/main/java/shalepaddle/front/ClientFront.java
+++ b/engine/src/main/java/shalepaddle/front/ClientFront.java
@@ -48,6 +48,11 @@
     clients.sweep();
   }
 
+  /** Connections on which an answer is owed. */
+  public int owed() {
+    return clients.owed();
+  }
+
   /** Connections that are open. */
   public int size() {
     return clients.size();
--- a/engine/src/main/java/shalepaddle/node/LoadBalancer.java
+++ b/engine/src/main/java/shalepaddle/node/LoadBalancer.java
@@ -56,6 +56,11 @@
    */
   private static final double CLIENT_SHARE = 0.5;
 
+  /**
+   * The part of all descriptors that clients' connections for requests may take, by the protocol.
+   */
+  private static final double PLACES_SHARE = 1.0 / 3;
+
   /** Descriptors kept for files and pipes of the virtual machine, the selector and discovery. */
   private static final int OWN_DESCRIPTORS = 32;
 
@@ -115,6 +120,10 @@
   private final Map<Long, MemberList.Member> members = new TreeMap<>();
   private MemberList whole;
   private boolean handedOver;
+
+  /** Connections of clients that another process of this node holds. */
+  private int clientsElsewhere;
+
   private long trimmedAt;
   private volatile OverloadReading reading;
   private volatile JoiningReading joining;
@@ -196,6 +205,7 @@
   private final class Entrance implements Gate {
     @Override
     public boolean shuts() {
+      overload.places((front.owed() + clientsElsewhere) / (config.sockets() * PLACES_SHARE));
       return overload.shedding();
     }
 
@@ -390,6 +400,7 @@
    */
   public void partnered(List<Word> theirs, int clients, int serverConnections) {
     words.merge(theirs).forEach(this::apply);
+    clientsElsewhere = clients;
     front.limit((int) (config.sockets() * CLIENT_SHARE) - clients);
     pools.elsewhere(serverConnections);
   }
