Let idle connections and silent halves give way before commands that go on

Lines: ClientConnections.admit.

Change: unused ones first, then those that rest, then halves that have said nothing for 600 ms, whoever goes on sending last; halves count among what crowds; a node that accepts no more sends none away for a crowd.

--- a/engine/src/main/java/shalepaddle/front/ClientConnections.java
+++ b/engine/src/main/java/shalepaddle/front/ClientConnections.java
@@ -57,6 +57,9 @@
   /** A connection between requests gives way where others crowd in, from then. */
   private static final long PROMPT_NANOS = 300_000_000L;
 
+  /** One that is halfway through a command gives way once it has said nothing for so long. */
+  private static final long SILENT_NANOS = 600_000_000L;
+
   /** One that has asked for nothing does so from then: who connects to ask does so sooner. */
   private static final long HESITANT_NANOS = 50_000_000L;
 
@@ -76,6 +79,7 @@
   private final LoopClock clock;
   private final Map<Standing, LinkedHashMap<ClientHandler, Long>> open =
       new EnumMap<>(Standing.class);
+  private boolean shut;
   private boolean draining;
   private Runnable whenEmpty;
 
@@ -101,10 +105,25 @@
     long now = clock.listened();
     boolean flood = open.get(Standing.UNUSED).size() > HESITANT * limit;
     return endLongest(Standing.LEAVING, now)
-        || endLongest(Standing.MIDWAY, now - PROMPT_NANOS)
         || endLongest(Standing.UNUSED, flood ? now : now - HESITANT_NANOS)
-        || endLongest(Standing.IDLE, now - PROMPT_NANOS)
-        || endLongest(Standing.UNUSED, now);
+        || endLongest(Standing.IDLE, now - HESITANT_NANOS)
+        || endSilent(now - SILENT_NANOS)
+        || endLongest(Standing.UNUSED, now)
+        || endSilent(now - HESITANT_NANOS);
+  }
+
+  /**
+   * Ends the connection that has been silent for longest within a command, since the given time. A
+   * client that takes its time over a command goes on sending; one that never ends it does not.
+   */
+  private boolean endSilent(long before) {
+    ClientHandler silent = null;
+    for (ClientHandler client : open.get(Standing.MIDWAY).keySet()) {
+      if (silent == null || client.heardAt() - silent.heardAt() < 0) {
+        silent = client;
+      }
+    }
+    return silent != null && silent.heardAt() - before <= 0 && silent.endQuietly(true);
   }
 
   /** Ends the connection that has stood so for longest, since the given time; false if none can. */
@@ -121,6 +140,14 @@
     return false;
   }
 
+  /**
+   * No more connections come: those that are there may rest for as long as they like. Guards
+   * against sending away clients that can not come back, to nodes that are crowded themselves.
+   */
+  public void shut() {
+    shut = true;
+  }
+
   /** A connection is open, or what is due on it has changed. */
   void moved(ClientHandler client, Standing from, Standing to) {
     if (from != null) {
@@ -160,7 +187,9 @@
     long now = clock.listened();
     endAll(Standing.UNUSED, now - MAX_COMMAND_NANOS);
     endAll(Standing.MIDWAY, now - MAX_COMMAND_NANOS);
-    endAll(Standing.IDLE, now - MAX_IDLE_NANOS);
+    if (!shut) {
+      endAll(Standing.IDLE, now - MAX_IDLE_NANOS);
+    }
     closeCrowding();
     abortAll(Standing.LEAVING, now - MAX_LEAVING_NANOS);
     abortAll(Standing.CLOSING, now - MAX_CLOSING_NANOS);
@@ -186,6 +215,9 @@
    * come back after a pause: they have to connect anew.
    */
   private void closeCrowding() {
+    if (shut) {
+      return;
+    }
     long now = clock.listened();
     closeIdle(now - HESITANT_NANOS, FULL * limit);
     closeIdle(now - PROMPT_NANOS, CROWDED * limit);
@@ -196,7 +228,8 @@
    * still stands among them: each is closed once, and not looked at again.
    */
   private void closeIdle(long before, double most) {
-    double excess = open.get(Standing.IDLE).size() + open.get(Standing.OWED).size() - most;
+    int used = open.get(Standing.MIDWAY).size() + open.get(Standing.OWED).size();
+    double excess = open.get(Standing.IDLE).size() + used - most;
     if (excess > 0) {
       for (ClientHandler client : expired(Standing.IDLE, before, (int) Math.ceil(excess))) {
         client.endQuietly(true);
--- a/engine/src/main/java/shalepaddle/front/ClientFront.java
+++ b/engine/src/main/java/shalepaddle/front/ClientFront.java
@@ -48,6 +48,11 @@
     clients.sweep();
   }
 
+  /** No more connections come. */
+  public void shut() {
+    clients.shut();
+  }
+
   /** Connections on which an answer is owed. */
   public int owed() {
     return clients.owed();
--- a/engine/src/main/java/shalepaddle/front/ClientHandler.java
+++ b/engine/src/main/java/shalepaddle/front/ClientHandler.java
@@ -42,6 +42,9 @@
   private ClientConnections.Standing standing;
   private long stalledSince;
 
+  /** When bytes came last, in time in which the event loop listened. */
+  private long heardAt;
+
   /** Whether a command was left to be read to its end though its time was up. */
   private boolean spared;
 
@@ -230,6 +233,7 @@
 
   @Override
   public void channelReadComplete(ChannelHandlerContext ctx) {
+    heardAt = clock.listened();
     reading = false;
     if (unflushed) {
       unflushed = false;
@@ -313,6 +317,11 @@
     return true;
   }
 
+  /** When bytes came last. */
+  long heardAt() {
+    return heardAt;
+  }
+
   /** Closes the connection whatever has not gone out. */
   void abort() {
     channel.close();
--- a/engine/src/main/java/shalepaddle/node/LoadBalancer.java
+++ b/engine/src/main/java/shalepaddle/node/LoadBalancer.java
@@ -526,6 +526,7 @@
 
   /** Accepts no more clients; those that are there are served on. */
   private void stopAccepting() {
+    front.shut();
     if (listener instanceof ClientListener shared) {
       shared.stop();
     } else if (listener != null) {
