--- a/engine/src/main/java/shalepaddle/front/ClientHandler.java
+++ b/engine/src/main/java/shalepaddle/front/ClientHandler.java
@@ -153,7 +153,11 @@
     channel
         .config()
         .setAutoRead(
-            channel.isWritable() && slots.size() < turns.owed() && !rest.on() && !decoder.lost());
+            channel.isWritable()
+                && slots.size() < turns.owed()
+                && !rest.on()
+                && !decoder.lost()
+                && !closing);
   }
 
   private void penalize() {
@@ -281,9 +285,14 @@
     }
   }
 
-  /** Takes nothing more, and does the step once all that was written has gone out. */
+  /**
+   * Takes nothing more, and does the step once all that was written has gone out. From here on
+   * nothing is read: a request that crosses the end must stay unread, since whoever reads it has
+   * taken it and owes an answer that can not be given any more.
+   */
   private void end(ChannelFutureListener step) {
     closing = true;
+    steer();
     stand();
     channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(step);
   }
--- a/engine/src/test/java/shalepaddle/node/ClientConnectionsTest.java
+++ b/engine/src/test/java/shalepaddle/node/ClientConnectionsTest.java
@@ -1,8 +1,13 @@
 package shalepaddle.node;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -101,4 +106,49 @@
       assertTrue(client.ended());
     }
   }
+
+  /**
+   * A request that was sent as its connection ended: the node must not have read it, since whoever
+   * reads one owes an answer. The reset on the unread bytes tells.
+   */
+  @Test
+  void leavesARequestUnreadThatCrossesTheEndOfItsConnection() throws Exception {
+    try (NodeRig rig = new NodeRig();
+        SocketChannel client = SocketChannel.open(rig.address)) {
+      client.write(ByteBuffer.wrap("mn\r\n".getBytes(StandardCharsets.US_ASCII)));
+      ByteBuffer answer = ByteBuffer.allocate(64);
+      while (answer.position() < 4) {
+        client.read(answer);
+      }
+      Thread drain = new Thread(rig.node::drain);
+      drain.start();
+      assertEquals(-1, client.read(answer));
+      client.write(ByteBuffer.wrap(NodeRig.get("a1", 2000).getBytes(StandardCharsets.US_ASCII)));
+      // All is closed by then. A reset makes the next write fail; an end alone would not.
+      drain.join();
+      ByteBuffer more = ByteBuffer.wrap(new byte[1]);
+      assertThrows(IOException.class, () -> client.write(more));
+    }
+  }
+
+  @Test
+  void aCommandThatGoesOnGivesWayAfterThoseThatStandStill() throws Exception {
+    try (NodeRig rig = new NodeRig(1, 128)) {
+      ScriptedPeer slow = rig.client();
+      String command = NodeRig.get("a1", 5000);
+      slow.write(command.substring(0, 3));
+      for (int i = 3; i < command.length(); i++) {
+        // Halves of commands come all the while, more than there are places.
+        for (int j = 0; j < 4; j++) {
+          rig.client().write("mg ke");
+        }
+        Thread.sleep(40);
+        slow.write(command.substring(i, i + 1));
+      }
+      ScriptedPeer cache = rig.acceptCache();
+      assertTrue(cache.line().contains("Oa1 "));
+      cache.write("VA 1 Oa1\r\nx\r\n");
+      assertEquals("VA 1 Oa1", slow.line());
+    }
+  }
 }
