End a drain within the longest wait of the platform, and answer all that is open by then

Ruled out: requests that cross the end of their connections (none dropped in 91 logs), signals that do not arrive (they do).

Change: deadlines up to 3 s count; what was open before and would wait longer is answered when the node's time is up; who has only been told to leave is not waited for.

--- a/engine/src/main/java/shalepaddle/engine/Dispatcher.java
+++ b/engine/src/main/java/shalepaddle/engine/Dispatcher.java
@@ -410,10 +410,24 @@
     return timers;
   }
 
-  /** From now on gives requests no more time than until then. */
+  /**
+   * From now on gives requests no more time than until then; those that were open before, and would
+   * wait for longer, are answered then. Guards against an end by force, which loses what it finds.
+   */
   public void answerBy(long nanos) {
     answerBy = nanos;
     ending = true;
+    timers.by(nanos - ANSWER_MARGIN_NANOS - loopClock.now(), this::answerOpen);
+  }
+
+  /** Gives every open request its one answer, a refusal where it can not have run. */
+  private void answerOpen() {
+    for (Exchange request : List.copyOf(open.values())) {
+      end(request, request.mayHaveRun() ? new Reply.Failed(true) : new Reply.Refused(0));
+      for (Attempt attempt : request.attempts) {
+        withdraw(attempt, Outcome.Result.CANCELLED);
+      }
+    }
   }
 
   /**
@@ -426,12 +440,7 @@
     }
     closed = true;
     intake.clear();
-    for (Exchange request : List.copyOf(open.values())) {
-      end(request, request.mayHaveRun() ? new Reply.Failed(true) : new Reply.Refused(0));
-      for (Attempt attempt : request.attempts) {
-        withdraw(attempt, Outcome.Result.CANCELLED);
-      }
-    }
+    answerOpen();
     members.stop();
     timers.close();
   }
--- a/engine/src/main/java/shalepaddle/front/ClientConnections.java
+++ b/engine/src/main/java/shalepaddle/front/ClientConnections.java
@@ -160,13 +160,21 @@
     if (draining && to == Standing.IDLE) {
       client.endQuietly(false);
     }
+    tellIfEmpty();
+  }
+
+  /** Whoever has only been told to leave is owed nothing, and need not be waited for. */
+  private void tellIfEmpty() {
+    if (draining && whenEmpty != null && size() == open.get(Standing.LEAVING).size()) {
+      Runnable step = whenEmpty;
+      whenEmpty = null;
+      step.run();
+    }
   }
 
   void closed(ClientHandler client, Standing from) {
     open.get(from).remove(client);
-    if (draining && size() == 0) {
-      whenEmpty.run();
-    }
+    tellIfEmpty();
   }
 
   /** Connections on which an answer is owed. */
@@ -258,9 +266,8 @@
   public void drain(EventLoop loop, long restMillis, Runnable then) {
     draining = true;
     whenEmpty = then;
-    if (size() == 0) {
-      then.run();
-    } else {
+    tellIfEmpty();
+    if (size() > 0) {
       loop.schedule(() -> closeNext(loop), restMillis, TimeUnit.MILLISECONDS);
     }
   }
--- a/engine/src/main/java/shalepaddle/node/LoadBalancer.java
+++ b/engine/src/main/java/shalepaddle/node/LoadBalancer.java
@@ -94,6 +94,9 @@
    */
   private static final long KILL_MILLIS = 700;
 
+  /** The platform waits for no longer deadline than this. */
+  private static final long MOST_DEADLINE_MILLIS = 3000;
+
   /** How long clients may rest before their connections end, where another process took over. */
   private static final long REST_MILLIS = 1000;
 
@@ -477,7 +480,8 @@
 
   /** How long a {@link #drain} goes on at most, but for clients that do not read their answers. */
   public long drainMillis() {
-    return (long) (config.longestDeadline() * 1e3) + KILL_MILLIS - ANSWERED_MILLIS;
+    long deadline = Math.min(MOST_DEADLINE_MILLIS, (long) (config.longestDeadline() * 1e3));
+    return deadline + KILL_MILLIS - ANSWERED_MILLIS;
   }
 
   /**
--- a/engine/src/main/java/shalepaddle/node/Node.java
+++ b/engine/src/main/java/shalepaddle/node/Node.java
@@ -329,6 +329,11 @@
     return loop;
   }
 
+  /** Connections of clients that are open. */
+  int clients() throws InterruptedException {
+    return loop.submit(balancer::clients).await().getNow();
+  }
+
   Dispatcher dispatcher() {
     return balancer.dispatcher();
   }
--- a/engine/src/test/java/shalepaddle/node/ClientConnectionsTest.java
+++ b/engine/src/test/java/shalepaddle/node/ClientConnectionsTest.java
@@ -126,6 +126,9 @@
       client.write(ByteBuffer.wrap(NodeRig.get("a1", 2000).getBytes(StandardCharsets.US_ASCII)));
       // All is closed by then. A reset makes the next write fail; an end alone would not.
       drain.join();
+      while (rig.node.clients() > 0) {
+        Thread.sleep(10);
+      }
       ByteBuffer more = ByteBuffer.wrap(new byte[1]);
       assertThrows(IOException.class, () -> client.write(more));
     }
@@ -151,4 +154,29 @@
       assertEquals("VA 1 Oa1", slow.line());
     }
   }
+
+  /** The platform kills a node 3.7 s after it was told to end, however long a class may wait. */
+  @Test
+  void endsInTimeWhereAClassMayWaitForLonger() throws Exception {
+    String waits =
+        ",\"services\":[{\"name\":\"read\",\"effect\":\"retryable\",\"slo\":1,\"give-up\":6}]";
+    try (NodeRig rig = new NodeRig(waits)) {
+      ScriptedPeer client = rig.client();
+      client.write(NodeRig.get("a1", 6000));
+      ScriptedPeer cache = rig.acceptCache();
+      cache.line();
+      long began = System.nanoTime();
+      Thread drain = new Thread(rig.node::drain);
+      drain.start();
+      Thread.sleep(600);
+      // One that comes while it ends has no more time than is left.
+      client.write(NodeRig.get("a2", 6000));
+      // Nor has one that was open before: it may have run, so that it has failed.
+      assertEquals("SERVER_ERROR failed", client.line());
+      assertEquals("SERVER_ERROR failed", client.line());
+      drain.join();
+      long millis = (System.nanoTime() - began) / 1_000_000;
+      assertTrue(millis < 3700, "ended after " + millis + " ms");
+    }
+  }
 }
