Cut large reads through as they come, and take writes of up to 4 MiB

Need: values of up to 4 MiB occur; over 64 KiB the first bytes are timed. Until now a reply of more than 64 KiB was a spoilt one (MetaReplyDecoder.parse), and a write of it ended its connection.

Change: LargeReply, ValueSource, Reply.Pieces: the first 16 KiB are held back, then pieces go on as they come, the server's connection not read while the client's buffer is full; nothing is written behind such a value; figures count it at its end. Writes held within a budget, half of the direct memory at most; a client that goes on sending has 30 s for a value.

Tests: LargeValuesTest, with cuts at each byte of the head and at the seams.

--- a/engine/src/main/java/shalepaddle/codec/meta/MetaClientCodec.java
+++ b/engine/src/main/java/shalepaddle/codec/meta/MetaClientCodec.java
@@ -51,6 +51,11 @@
     return MetaReplies.encode(allocator, id, reply);
   }
 
+  @Override
+  public ByteBuf endOfPieces() {
+    return MetaReplies.valueEnd();
+  }
+
   @Override
   public ByteBuf idInUse(ByteBufAllocator allocator) {
     return MetaReplies.line(allocator, "CLIENT_ERROR id in use");
--- a/engine/src/main/java/shalepaddle/codec/meta/MetaCommandDecoder.java
+++ b/engine/src/main/java/shalepaddle/codec/meta/MetaCommandDecoder.java
@@ -53,6 +53,11 @@
     return write != null || actualReadableBytes() > 0;
   }
 
+  @Override
+  public boolean inValue() {
+    return write != null;
+  }
+
   /** Whether nothing more is taken: what comes can no longer be told apart. */
   @Override
   public boolean lost() {
--- a/engine/src/main/java/shalepaddle/codec/meta/MetaLine.java
+++ b/engine/src/main/java/shalepaddle/codec/meta/MetaLine.java
@@ -8,8 +8,11 @@
   /** Longest line taken, well above a key of 250 bytes with its flags. */
   public static final int MAX_LENGTH = 2048;
 
-  /** Longest value taken or passed on, by the protocol. */
-  static final int MAX_VALUE = 1 << 16;
+  /** Longest value taken or passed on. */
+  public static final int MAX_VALUE = 4 << 20;
+
+  /** Longest value that is held whole on its way to a client; larger ones go on in pieces. */
+  public static final int MAX_WHOLE = 1 << 16;
 
   final byte[] bytes;
   private int position;
--- a/engine/src/main/java/shalepaddle/codec/meta/MetaReplies.java
+++ b/engine/src/main/java/shalepaddle/codec/meta/MetaReplies.java
@@ -27,6 +27,9 @@
     if (reply instanceof Reply.Value served) {
       return value(allocator, id, served.value());
     }
+    if (reply instanceof Reply.Pieces pieces) {
+      return valueHead(allocator.buffer(id.length() + 16), id, pieces.length());
+    }
     if (reply instanceof Reply.Receipt written) {
       return line(allocator, "HD O" + id + " c" + written.receipt());
     }
@@ -52,15 +55,24 @@
     return line.writeShort(0x0D0A);
   }
 
-  private static ByteBuf value(ByteBufAllocator allocator, String id, ByteBuf value) {
-    int length = value.readableBytes();
-    boolean copied = length <= COPIED;
-    ByteBuf head = allocator.buffer(id.length() + 16 + (copied ? length + 2 : 0));
+  /** What follows the last piece of a value. */
+  static ByteBuf valueEnd() {
+    return CRLF.duplicate();
+  }
+
+  private static ByteBuf valueHead(ByteBuf head, String id, int length) {
     ByteBufUtil.writeAscii(head, "VA ");
     ByteBufUtil.writeAscii(head, Integer.toString(length));
     ByteBufUtil.writeAscii(head, " O");
     ByteBufUtil.writeAscii(head, id);
-    head.writeShort(0x0D0A);
+    return head.writeShort(0x0D0A);
+  }
+
+  private static ByteBuf value(ByteBufAllocator allocator, String id, ByteBuf value) {
+    int length = value.readableBytes();
+    boolean copied = length <= COPIED;
+    ByteBuf head = allocator.buffer(id.length() + 16 + (copied ? length + 2 : 0));
+    valueHead(head, id, length);
     if (copied) {
       try {
         return head.writeBytes(value, value.readerIndex(), length).writeShort(0x0D0A);
--- a/engine/src/main/java/shalepaddle/codec/meta/MetaReplyDecoder.java
+++ b/engine/src/main/java/shalepaddle/codec/meta/MetaReplyDecoder.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.DecoderException;
 import java.util.Arrays;
 import java.util.List;
+import shalepaddle.engine.LargeReply;
 import shalepaddle.engine.ServerReply;
 import shalepaddle.model.LoadReport;
 import shalepaddle.model.Outcome;
@@ -20,6 +21,10 @@
   private ServerReply head;
 
   private int length;
+
+  /** Bytes of a large value that are still to come, -1 while none is under way. */
+  private int missing = -1;
+
   private boolean spoilt;
 
   @Override
@@ -34,6 +39,10 @@
       return;
     }
     try {
+      if (missing >= 0) {
+        pieces(in, out);
+        return;
+      }
       if (head == null) {
         MetaLine line = MetaLine.read(in);
         if (line == null) {
@@ -44,6 +53,9 @@
       if (length < 0) {
         out.add(head);
         head = null;
+      } else if (length > MetaLine.MAX_WHOLE) {
+        missing = length;
+        out.add(new LargeReply(head, length));
       } else if (in.readableBytes() >= length + 2) {
         int end = in.readerIndex() + length;
         if (in.getByte(end) != '\r' || in.getByte(end + 1) != '\n') {
@@ -61,6 +73,20 @@
     }
   }
 
+  /** Passes on what has come of a large value, and its end once that is there. */
+  private void pieces(ByteBuf in, List<Object> out) throws MetaLine.MalformedException {
+    if (missing > 0) {
+      int bytes = Math.min(missing, in.readableBytes());
+      missing -= bytes;
+      out.add(in.readRetainedSlice(bytes));
+    } else if (in.readableBytes() >= 2) {
+      MetaLine.readEnd(in);
+      missing = -1;
+      head = null;
+      out.add(LargeReply.END);
+    }
+  }
+
   private ServerReply parse(MetaLine line) throws MetaLine.MalformedException {
     line.next();
     Outcome.Result result = Outcome.Result.OK;
--- a/engine/src/main/java/shalepaddle/engine/Attempt.java
+++ b/engine/src/main/java/shalepaddle/engine/Attempt.java
@@ -72,6 +72,11 @@
     return call.request().id().equals(id);
   }
 
+  /** Whether a reply whose value is still to come can be the answer to it. */
+  public boolean fitsValue(ServerReply reply) {
+    return has(reply.id()) && !request.call.request().write();
+  }
+
   /** Whether a reply can be the answer to it: of its request, a value for a read alone. */
   public boolean fits(ServerReply reply) {
     boolean named = reply.id() == null || has(reply.id());
--- a/engine/src/main/java/shalepaddle/engine/Dispatcher.java
+++ b/engine/src/main/java/shalepaddle/engine/Dispatcher.java
@@ -1,5 +1,6 @@
 package shalepaddle.engine;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.EventLoop;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -549,6 +550,79 @@
     ended(attempt, reply.result(), reply.note(), reply.load());
   }
 
+  /**
+   * A large value has begun to come for this attempt, which is over with that: there is no other
+   * one any more, and no deadline.
+   *
+   * @return false if nobody wants it
+   */
+  public boolean replied(Attempt attempt, LargeReply reply, ValueSource source) {
+    Exchange request = attempt.request;
+    if (attempt.over || request.ended) {
+      return false;
+    }
+    if (request.call.sink().takesPieces()) {
+      finish(request, new Reply.Pieces(reply.length(), new CountedSource(request.call, source)));
+    } else {
+      request.ended = true;
+      new WholeValue(reply.length(), source, whole -> finish(request, whole)).begin();
+    }
+    ended(attempt, reply.head().result(), reply.head().note(), reply.head().load());
+    return true;
+  }
+
+  /** A value whose request ends with it: it is counted when it is whole, or never will be. */
+  private final class CountedSource implements ValueSource, ValueSource.Taker {
+    private final Call call;
+    private final ValueSource source;
+    private Taker taker;
+    private boolean over;
+
+    CountedSource(Call call, ValueSource source) {
+      this.call = call;
+      this.source = source;
+    }
+
+    @Override
+    public void begin(Taker taker) {
+      this.taker = taker;
+      source.begin(this);
+    }
+
+    @Override
+    public void flow(boolean on) {
+      source.flow(on);
+    }
+
+    @Override
+    public void drop() {
+      if (!over) {
+        over = true;
+        figures.gone();
+        source.drop();
+      }
+    }
+
+    @Override
+    public void piece(ByteBuf bytes) {
+      taker.piece(bytes);
+    }
+
+    @Override
+    public void end() {
+      over = true;
+      figures.served(call.request().serviceClass());
+      taker.end();
+    }
+
+    @Override
+    public void broken() {
+      over = true;
+      figures.answered(call.request().serviceClass(), new Reply.Failed(true));
+      taker.broken();
+    }
+  }
+
   /** The one answer of an exchange. */
   private void finish(Exchange request, Reply reply) {
     request.ended = true;
@@ -560,7 +634,8 @@
 
   /** The final answer of a call that was taken. */
   void give(Call call, Reply reply) {
-    if (!JoinedReads.shared(call)) {
+    // A value in pieces is counted at its end.
+    if (!JoinedReads.shared(call) && !(reply instanceof Reply.Pieces)) {
       figures.answered(call.request().serviceClass(), reply);
     }
     deliver(call, reply);
--- a/engine/src/main/java/shalepaddle/engine/Figures.java
+++ b/engine/src/main/java/shalepaddle/engine/Figures.java
@@ -63,6 +63,12 @@
     }
   }
 
+  /** The last byte of a request's answer has come. */
+  void served(String service) {
+    ended++;
+    of(service).succeeded++;
+  }
+
   /** A request was turned away before it was taken apart: taken and refused at once. */
   public void declined(String service) {
     taken++;
--- a/engine/src/main/java/shalepaddle/engine/Reply.java
+++ b/engine/src/main/java/shalepaddle/engine/Reply.java
@@ -11,6 +11,15 @@
    */
   record Value(ByteBuf value) implements Reply {}
 
+  /**
+   * A read is being served with a large value, of which the first bytes have come. Given only to a
+   * sink that {@linkplain ReplySink#takesPieces takes pieces}.
+   *
+   * @param length the value's bytes
+   * @param source gives them as they come; whoever takes the reply begins or drops it
+   */
+  record Pieces(int length, ValueSource source) implements Reply {}
+
   /**
    * A write was carried out.
    *
--- a/engine/src/main/java/shalepaddle/engine/ReplySink.java
+++ b/engine/src/main/java/shalepaddle/engine/ReplySink.java
@@ -9,4 +9,9 @@
    * logged and changes nothing else.
    */
   void reply(Reply reply);
+
+  /** Whether it takes large values in pieces, {@link Reply.Pieces}; if not, it gets them whole. */
+  default boolean takesPieces() {
+    return false;
+  }
 }
--- /dev/null
+++ b/engine/src/main/java/shalepaddle/engine/ValueSource.java
@@ -0,0 +1,29 @@
+package shalepaddle.engine;
+
+import io.netty.buffer.ByteBuf;
+
+/**
+ * A large value that is still coming from a cache server. All of it runs on the engine's thread.
+ */
+public interface ValueSource {
+  /** Who takes the value as it comes. */
+  interface Taker {
+    /** The next piece, which belongs to the taker. */
+    void piece(ByteBuf bytes);
+
+    /** It is whole. */
+    void end();
+
+    /** It will never be whole: the server broke off. */
+    void broken();
+  }
+
+  /** Gives what has come, and from now on what comes, to the taker. Called once. */
+  void begin(Taker taker);
+
+  /** Whether more may come: what the taker can not take stays with the server. */
+  void flow(boolean on);
+
+  /** Nobody wants the rest; the taker hears nothing more. Does nothing once it is over. */
+  void drop();
+}
--- /dev/null
+++ b/engine/src/main/java/shalepaddle/engine/WholeValue.java
@@ -0,0 +1,39 @@
+package shalepaddle.engine;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import java.util.function.Consumer;
+
+/** Gathers a large value for who takes it whole only. Bounded by the longest value there is. */
+final class WholeValue implements ValueSource.Taker {
+  private final ValueSource source;
+  private final Consumer<Reply> done;
+  private final ByteBuf value;
+
+  WholeValue(int length, ValueSource source, Consumer<Reply> done) {
+    this.source = source;
+    this.done = done;
+    this.value = Unpooled.buffer(length, length);
+  }
+
+  void begin() {
+    source.begin(this);
+  }
+
+  @Override
+  public void piece(ByteBuf bytes) {
+    value.writeBytes(bytes);
+    bytes.release();
+  }
+
+  @Override
+  public void end() {
+    done.accept(new Reply.Value(value));
+  }
+
+  @Override
+  public void broken() {
+    value.release();
+    done.accept(new Reply.Failed(true));
+  }
+}
--- a/engine/src/main/java/shalepaddle/front/ClientCodec.java
+++ b/engine/src/main/java/shalepaddle/front/ClientCodec.java
@@ -16,6 +16,9 @@
    */
   ByteBuf encode(ByteBufAllocator allocator, String id, Reply reply);
 
+  /** The bytes behind the last piece of a value, of which {@link #encode} made the head alone. */
+  ByteBuf endOfPieces();
+
   /** The bytes of the answer to a request whose id belongs to another that is open. */
   ByteBuf idInUse(ByteBufAllocator allocator);
 
@@ -24,6 +27,9 @@
     /** Whether a command has begun and not ended. */
     public abstract boolean midway();
 
+    /** Whether the value of a command is being read, whose head is whole. */
+    public abstract boolean inValue();
+
     /** Whether nothing more is taken: what comes can no longer be told apart. */
     public abstract boolean lost();
   }
--- a/engine/src/main/java/shalepaddle/front/ClientConnections.java
+++ b/engine/src/main/java/shalepaddle/front/ClientConnections.java
@@ -42,6 +42,9 @@
   /** How long a client may take for its first command, or over any command: it is owed 2 s. */
   private static final long MAX_COMMAND_NANOS = 2_100_000_000L;
 
+  /** How long it may take over a command with a large value, as long as it goes on sending. */
+  private static final long MAX_VALUE_NANOS = 30_000_000_000L;
+
   /** How long a connection is kept between requests; a client may be made to open another. */
   private static final long MAX_IDLE_NANOS = 4_000_000_000L;
 
@@ -194,7 +197,13 @@
   public void sweep() {
     long now = clock.listened();
     endAll(Standing.UNUSED, now - MAX_COMMAND_NANOS);
-    endAll(Standing.MIDWAY, now - MAX_COMMAND_NANOS);
+    for (ClientHandler client :
+        expired(Standing.MIDWAY, now - MAX_COMMAND_NANOS, Integer.MAX_VALUE)) {
+      boolean longest = open.get(Standing.MIDWAY).get(client) - (now - MAX_VALUE_NANOS) <= 0;
+      if (longest || !client.sendsValue(now - MAX_COMMAND_NANOS)) {
+        client.endQuietly(false);
+      }
+    }
     if (!shut) {
       endAll(Standing.IDLE, now - MAX_IDLE_NANOS);
     }
--- a/engine/src/main/java/shalepaddle/front/ClientHandler.java
+++ b/engine/src/main/java/shalepaddle/front/ClientHandler.java
@@ -15,6 +15,7 @@
 import shalepaddle.engine.Reply;
 import shalepaddle.engine.ReplySink;
 import shalepaddle.engine.Submission;
+import shalepaddle.engine.ValueSource;
 import shalepaddle.loop.LoopClock;
 
 /** A client's connection: takes its commands and gives the answers in their order. */
@@ -82,7 +83,7 @@
   }
 
   /** The place of one answer in the order of a connection's answers. */
-  final class Slot implements ReplySink {
+  final class Slot implements ReplySink, ValueSource.Taker {
     private Submission request;
     private String id;
 
@@ -92,11 +93,66 @@
     private boolean given;
     private boolean last;
 
+    /** A large value that is its answer, null if there is none or it is over. */
+    private ValueSource source;
+
+    private boolean begun;
+
+    @Override
+    public boolean takesPieces() {
+      return true;
+    }
+
     @Override
     public void reply(Reply reply) {
+      if (reply instanceof Reply.Pieces pieces) {
+        pieces(pieces);
+        return;
+      }
       whole(codec.encode(channel.alloc(), id, reply));
     }
 
+    private void pieces(Reply.Pieces pieces) {
+      if (closing || !channel.isActive()) {
+        pieces.source().drop();
+        return;
+      }
+      source = pieces.source();
+      waiting = codec.encode(channel.alloc(), id, pieces);
+      if (slots.peek() == this) {
+        beginPieces();
+      }
+    }
+
+    /** It is this answer's turn. */
+    private void beginPieces() {
+      begun = true;
+      channel.write(waiting, channel.voidPromise());
+      waiting = null;
+      source.begin(this);
+    }
+
+    @Override
+    public void piece(ByteBuf bytes) {
+      channel.writeAndFlush(bytes, channel.voidPromise());
+      if (source != null) {
+        source.flow(channel.isWritable());
+      }
+    }
+
+    @Override
+    public void end() {
+      source = null;
+      whole(codec.endOfPieces());
+    }
+
+    /** The client can tell by the length that this is not the end. */
+    @Override
+    public void broken() {
+      source = null;
+      channel.close();
+    }
+
     /** Gives these bytes as the whole answer. */
     private void whole(ByteBuf bytes) {
       if (closing || !channel.isActive()) {
@@ -127,6 +183,10 @@
         close();
       }
     }
+    Slot next = slots.peek();
+    if (next != null && next.source != null && !next.begun) {
+      next.beginPieces();
+    }
     steer();
   }
 
@@ -249,6 +309,10 @@
   @Override
   public void channelWritabilityChanged(ChannelHandlerContext ctx) {
     stalledSince = clock.listened();
+    Slot first = slots.peek();
+    if (first != null && first.begun && first.source != null) {
+      first.source.flow(channel.isWritable());
+    }
     steer();
   }
 
@@ -261,6 +325,11 @@
       if (slot.waiting != null) {
         slot.waiting.release();
       }
+      if (slot.source != null) {
+        ValueSource dropped = slot.source;
+        slot.source = null;
+        dropped.drop();
+      }
       if (slot.request != null) {
         dispatcher.clientGone(slot.request);
       }
@@ -326,6 +395,11 @@
     return true;
   }
 
+  /** Whether it sends the value of a command, and has gone on with that since the given time. */
+  boolean sendsValue(long since) {
+    return decoder.inValue() && heardAt - since > 0;
+  }
+
   /** When bytes came last. */
   long heardAt() {
     return heardAt;
--- a/engine/src/main/java/shalepaddle/node/LoadBalancer.java
+++ b/engine/src/main/java/shalepaddle/node/LoadBalancer.java
@@ -196,7 +196,8 @@
             settings.asksForList(),
             config.known().version(),
             new Members());
-    MemoryBudget values = new MemoryBudget((long) config.memoryMb() << 18);
+    MemoryBudget values =
+        new MemoryBudget(Math.min((long) config.memoryMb() << 18, transport.mostMemory() / 2));
     codec = new MetaClientCodec(values, settings, new Entrance());
     front =
         new ClientFront(
--- a/engine/src/main/java/shalepaddle/node/Transport.java
+++ b/engine/src/main/java/shalepaddle/node/Transport.java
@@ -23,6 +23,11 @@
     return Double.NaN;
   }
 
+  /** Bytes that buffers may take in all. */
+  default long mostMemory() {
+    return Long.MAX_VALUE;
+  }
+
   /** Gives back memory that is kept for buffers to come, as far as that can be told. */
   default void trim() {}
 
@@ -52,6 +57,11 @@
         return (double) allocator.pinnedDirectMemory() / PlatformDependent.maxDirectMemory();
       }
 
+      @Override
+      public long mostMemory() {
+        return PlatformDependent.maxDirectMemory();
+      }
+
       @Override
       public void trim() {
         allocator.trimCurrentThreadCache();
@@ -64,6 +74,8 @@
             .channel(NioSocketChannel.class)
             .option(ChannelOption.ALLOCATOR, allocator)
             .option(ChannelOption.TCP_NODELAY, true)
+            .option(
+                ChannelOption.RECVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator(64, 2048, 32768))
             // Connections that do not come up are given up by Timers.limit, which minds pauses.
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 0);
       }
--- a/engine/src/main/java/shalepaddle/upstream/ServerConnection.java
+++ b/engine/src/main/java/shalepaddle/upstream/ServerConnection.java
@@ -1,6 +1,7 @@
 package shalepaddle.upstream;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -11,7 +12,9 @@
 import java.util.ArrayDeque;
 import shalepaddle.engine.Attempt;
 import shalepaddle.engine.Dispatcher;
+import shalepaddle.engine.LargeReply;
 import shalepaddle.engine.ServerReply;
+import shalepaddle.engine.ValueSource;
 import shalepaddle.loop.LoopClock;
 import shalepaddle.model.Outcome;
 
@@ -20,6 +23,14 @@
  * the attempt that waits longest.
  */
 final class ServerConnection extends ChannelInboundHandlerAdapter implements Attempt.Carrier {
+  /** How much of a large value is held back: so long its attempt can be made again. */
+  private static final int HELD_BACK = 16 << 10;
+
+  /** How long a server may pause within a large value, before and after that has been passed on. */
+  private static final long MAX_EARLY_PAUSE_NANOS = 1_000_000_000L;
+
+  private static final long MAX_PIECES_PAUSE_NANOS = 2_500_000_000L;
+
   /** How long a reply that has begun may pause. */
   private static final long MAX_PAUSE_NANOS = 250_000_000L;
 
@@ -55,6 +66,9 @@
   /** The pause before the request that is under way, -1 if it was none or is over. */
   private long pause = -1;
 
+  /** The large value that is under way, null if there is none. */
+  private Pieces pieces;
+
   /** The id of the answer that came last, null if none did. */
   private String lastId;
 
@@ -103,7 +117,8 @@
 
   /** Attempts under way; more than any limit where nothing may be written any more. */
   int load() {
-    return retiring || closed || reading ? Integer.MAX_VALUE : underWay.size();
+    // Whatever is written behind a large value would wait for its client.
+    return retiring || closed || reading || pieces != null ? Integer.MAX_VALUE : underWay.size();
   }
 
   /** Whether an attempt is better written here: fewer to wait for, or more lately in use. */
@@ -139,7 +154,7 @@
   /** Nothing more is written here; closes once nobody waits for what is under way. */
   void retire() {
     retiring = true;
-    if (awaited == 0) {
+    if (awaited == 0 && (pieces == null || !pieces.begun)) {
       channel.close();
     }
   }
@@ -163,6 +178,22 @@
   public void channelRead(ChannelHandlerContext ctx, Object message) {
     heard();
     reading = true;
+    if (message instanceof ByteBuf piece) {
+      if (pieces == null || closed || spoilt) {
+        piece.release();
+      } else {
+        pieces.come(piece);
+      }
+      return;
+    }
+    if (message == LargeReply.END) {
+      endOfPieces();
+      return;
+    }
+    if (message instanceof LargeReply large) {
+      begin(large);
+      return;
+    }
     ServerReply reply = (ServerReply) message;
     try {
       reply(reply);
@@ -173,25 +204,39 @@
     }
   }
 
-  private void reply(ServerReply reply) {
+  /** The attempt that a reply answers; null if it answers none, and that has been seen to. */
+  private Attempt answered(ServerReply reply, boolean large) {
     if (closed || spoilt) {
-      return;
+      return null;
     }
     Attempt head = underWay.peek();
     if (reply.id() != null && reply.id().equals(lastId) && (head == null || !head.has(lastId))) {
       // A second copy of an answer. It harms nobody, but nothing new is written behind it.
       retire();
-      return;
+      return null;
     }
-    if (head == null || !head.fits(reply)) {
+    if (head == null || !(large ? head.fitsValue(reply) : head.fits(reply))) {
       spoil("a reply matches no request");
-      return;
+      return null;
     }
     lastId = head.request.id();
     rested(false);
+    return head;
+  }
+
+  private void reply(ServerReply reply) {
+    Attempt head = answered(reply, false);
+    if (head == null) {
+      return;
+    }
     if (!head.over) {
       dispatcher.replied(head, reply);
     }
+    over();
+  }
+
+  /** The reply to the attempt that waits longest has come, whole. */
+  private void over() {
     if (!underWay.poll().abandoned) {
       awaited--;
     }
@@ -201,6 +246,125 @@
     }
   }
 
+  private void begin(LargeReply reply) {
+    Attempt head = answered(reply.head(), true);
+    if (head != null) {
+      pieces = new Pieces(head, reply);
+    }
+  }
+
+  private void endOfPieces() {
+    if (pieces != null && !closed && !spoilt) {
+      Pieces whole = pieces;
+      pieces = null;
+      over();
+      whole.end();
+    }
+  }
+
+  /**
+   * A large value on its way through: the first bytes are held back, then all goes on as it comes
+   * and as fast as its client takes it.
+   */
+  private final class Pieces implements ValueSource {
+    private final Attempt attempt;
+    private final LargeReply reply;
+    private final ArrayDeque<ByteBuf> early = new ArrayDeque<>();
+    private int held;
+
+    /** Whether it has been offered to who waits for it. */
+    private boolean begun;
+
+    private boolean wanted = true;
+    private boolean whole;
+    private Taker taker;
+
+    Pieces(Attempt attempt, LargeReply reply) {
+      this.attempt = attempt;
+      this.reply = reply;
+    }
+
+    void come(ByteBuf piece) {
+      if (!wanted) {
+        piece.release();
+        return;
+      }
+      if (taker != null) {
+        taker.piece(piece);
+        return;
+      }
+      early.add(piece);
+      held += piece.readableBytes();
+      if (!begun && held >= HELD_BACK) {
+        begun = true;
+        if (!dispatcher.replied(attempt, reply, this)) {
+          wanted = false;
+          giveUp();
+        }
+      }
+      if (wanted && taker == null && begun) {
+        // Its turn at its client has not come: what has been read is held, and no more.
+        flow(false);
+      }
+    }
+
+    @Override
+    public void begin(Taker taker) {
+      this.taker = taker;
+      flow(true);
+      for (ByteBuf piece = early.poll(); piece != null; piece = early.poll()) {
+        taker.piece(piece);
+      }
+      if (whole) {
+        taker.end();
+      }
+    }
+
+    @Override
+    public void flow(boolean on) {
+      if (channel.config().isAutoRead() != on) {
+        heard();
+        channel.config().setAutoRead(on);
+      }
+    }
+
+    @Override
+    public void drop() {
+      wanted = false;
+      taker = null;
+      giveUp();
+    }
+
+    /** Nobody wants the rest: unless others wait behind it, closing is the cheapest end. */
+    private void giveUp() {
+      release();
+      if (pieces == this && underWay.size() <= 1) {
+        channel.close();
+      } else {
+        flow(true);
+      }
+    }
+
+    void end() {
+      whole = true;
+      if (taker != null) {
+        taker.end();
+      }
+    }
+
+    void broken() {
+      release();
+      if (wanted && taker != null) {
+        taker.broken();
+      }
+    }
+
+    private void release() {
+      early.forEach(ByteBuf::release);
+      early.clear();
+    }
+  }
+
   /** The first request after a pause is answered, or its connection broke. */
   private void rested(boolean broke) {
     if (pause >= 0) {
@@ -245,7 +409,15 @@
    * Harms a server that pauses within an answer for longer.
    */
   void closeIfStalled() {
-    if (decoder.midway() && clock.listened() - listenedAt > MAX_PAUSE_NANOS) {
+    if (pieces != null && !channel.config().isAutoRead()) {
+      // It is this end that does not read; its client's own time is looked after there.
+      return;
+    }
+    long most =
+        pieces == null
+            ? MAX_PAUSE_NANOS
+            : pieces.begun ? MAX_PIECES_PAUSE_NANOS : MAX_EARLY_PAUSE_NANOS;
+    if (decoder.midway() && clock.listened() - listenedAt > most) {
       spoil("a reply that does not end");
     }
   }
@@ -256,6 +428,11 @@
     if (!underWay.isEmpty() && !spoilt && !decoder.midway()) {
       rested(true);
     }
+    if (pieces != null) {
+      Pieces cut = pieces;
+      pieces = null;
+      cut.broken();
+    }
     for (Attempt attempt = underWay.poll(); attempt != null; attempt = underWay.poll()) {
       // Only a command whose last byte was not handed to the socket has provably not run.
       dispatcher.ended(
