--- a/days/src/main/java/shalepaddle/days/SimulatedDay.java
+++ b/days/src/main/java/shalepaddle/days/SimulatedDay.java
@@ -20,6 +20,7 @@
 import java.util.function.Consumer;
 import shalepaddle.config.NodeConfig;
 import shalepaddle.config.OperatorFile;
+import shalepaddle.engine.FiguresReading;
 import shalepaddle.joining.JoiningReading;
 import shalepaddle.joining.JoiningTuning;
 import shalepaddle.loop.Clock;
@@ -513,6 +514,7 @@
     }
     for (Instance instance : instances) {
       expectNone(instance, "open requests", instance.balancer().openRequests());
+      expectTrueFigures(instance);
     }
     clients.close();
     time.pass(1000);
@@ -535,6 +537,20 @@
     }
   }
 
+  /** Every request that was taken has ended under exactly one disposition, or its client left. */
+  private void expectTrueFigures(Instance instance) {
+    FiguresReading figures = instance.balancer().figures();
+    long ended = figures.gone();
+    for (FiguresReading.Results results : figures.results()) {
+      ended += results.succeeded() + results.declined() + results.aborted();
+    }
+    if (ended != figures.taken() || figures.outstanding() != 0) {
+      breaches.add(
+          "%s took %d requests, of which %d ended and %d are outstanding"
+              .formatted(instance.name(), figures.taken(), ended, figures.outstanding()));
+    }
+  }
+
   private void expectNone(Instance instance, String what, int count) {
     if (count > 0) {
       breaches.add(instance.name() + " was left with " + count + " " + what);
--- a/engine/src/main/java/shalepaddle/node/LoadBalancer.java
+++ b/engine/src/main/java/shalepaddle/node/LoadBalancer.java
@@ -16,6 +16,7 @@
 import shalepaddle.config.OperatorFile;
 import shalepaddle.engine.Dispatcher;
 import shalepaddle.engine.Engine;
+import shalepaddle.engine.FiguresReading;
 import shalepaddle.engine.MemoryBudget;
 import shalepaddle.front.ClientFront;
 import shalepaddle.front.ClientListener;
@@ -64,6 +65,9 @@
   /** Descriptors kept for files and pipes of the virtual machine, the selector and discovery. */
   private static final int OWN_DESCRIPTORS = 32;
 
+  /** Those that a crowd at the operators' door may take besides, and files that are read. */
+  private static final int DOOR_DESCRIPTORS = 8;
+
   /** How long a class that was dropped is still taken: so long its clients may not have heard. */
   private static final long DROPPED_NANOS = 1_200_000_000L;
 
@@ -228,11 +232,15 @@
     }
   }
 
+  private static int own(NodeConfig config) {
+    return OWN_DESCRIPTORS + (config.management() == null ? 0 : DOOR_DESCRIPTORS);
+  }
+
   private static ServerPool.Limits serverLimits(NodeConfig config, int connections) {
     Settings.Limits limits = config.settings().limits();
     return new ServerPool.Limits(
         connections,
-        (int) (config.sockets() * (1 - CLIENT_SHARE)) - OWN_DESCRIPTORS,
+        (int) (config.sockets() * (1 - CLIENT_SHARE)) - own(config),
         // Where a request may not have two attempts out, one that is given up must be off its
         // connection before the next goes out: nothing may share it.
         limits.parallelAttempts() ? Math.max(1, limits.perConnection()) : 1,
@@ -310,7 +318,7 @@
     Runtime heap = Runtime.getRuntime();
     double heapShare = (double) (heap.totalMemory() - heap.freeMemory()) / heap.maxMemory();
     double buffers = transport.memoryShare();
-    double descriptors = OWN_DESCRIPTORS + front.size() + pools.connections();
+    double descriptors = own(config) + front.size() + pools.connections();
     long now = clock.now();
     overload.uses(
         processor.share(now),
@@ -415,6 +423,11 @@
     publish();
   }
 
+  /** What has become of requests and attempts, as it stands now. */
+  public FiguresReading figures() {
+    return dispatcher.figures().reading();
+  }
+
   /** What operators see, as it stood some milliseconds ago. From any thread. */
   public Telemetry telemetry() {
     return telemetry;
