--- a/engine/src/main/java/shalepaddle/front/ClientConnections.java
+++ b/engine/src/main/java/shalepaddle/front/ClientConnections.java
@@ -163,12 +163,14 @@
     if (draining && to == Standing.IDLE) {
       client.endQuietly(false);
     }
-    tellIfEmpty();
   }
 
-  /** Whoever has only been told to leave is owed nothing, and need not be waited for. */
+  /**
+   * Also those that have been told to leave are waited for: a process that ends before them resets
+   * what crosses their end.
+   */
   private void tellIfEmpty() {
-    if (draining && whenEmpty != null && size() == open.get(Standing.LEAVING).size()) {
+    if (draining && whenEmpty != null && size() == 0) {
       Runnable step = whenEmpty;
       whenEmpty = null;
       step.run();
--- a/engine/src/main/java/shalepaddle/front/ClientHandler.java
+++ b/engine/src/main/java/shalepaddle/front/ClientHandler.java
@@ -213,11 +213,7 @@
     channel
         .config()
         .setAutoRead(
-            channel.isWritable()
-                && slots.size() < turns.owed()
-                && !rest.on()
-                && !decoder.lost()
-                && !closing);
+            channel.isWritable() && slots.size() < turns.owed() && !rest.on() && !decoder.lost());
   }
 
   private void penalize() {
@@ -355,13 +351,12 @@
   }
 
   /**
-   * Takes nothing more, and does the step once all that was written has gone out. From here on
-   * nothing is read: a request that crosses the end must stay unread, since whoever reads it has
-   * taken it and owes an answer that can not be given any more.
+   * Takes nothing more, and does the step once all that was written has gone out. What still comes
+   * is read off and dropped: left unread it would make the kernel reset the connection, and a
+   * client that is reset has lost its request, where one that sees the end asks once more.
    */
   private void end(ChannelFutureListener step) {
     closing = true;
-    steer();
     stand();
     channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(step);
   }
--- a/engine/src/main/java/shalepaddle/node/Node.java
+++ b/engine/src/main/java/shalepaddle/node/Node.java
@@ -329,11 +329,6 @@
     return loop;
   }
 
-  /** Connections of clients that are open. */
-  int clients() throws InterruptedException {
-    return loop.submit(balancer::clients).await().getNow();
-  }
-
   Dispatcher dispatcher() {
     return balancer.dispatcher();
   }
