Before its first request a process hears of its partner's connections, not of words alone

Cause: at the end of its warm-up a new process told its balancer of operators' words with no partner and no connections (partnered(words, 0, 0, 0)), which undid what the look before had told. Until the next look, 50 ms at most, it took itself for the only process of the node and opened up to all of the connections to each server in the very moment in which the first clients came.

Change: one whole look (tell, then hear) before the first request, in the caller's thread.

--- a/engine/src/main/java/shalepaddle/handover/Handover.java
+++ b/engine/src/main/java/shalepaddle/handover/Handover.java
@@ -64,7 +64,8 @@
     thread.scheduleWithFixedDelay(this::look, 0, LOOK_MILLIS, TimeUnit.MILLISECONDS);
   }
 
-  private void look() {
+  /** Tells of this process, and the listener of the others, as of now. From any thread. */
+  public synchronized void look() {
     try {
       tell();
       Others others = files.others();
--- a/engine/src/main/java/shalepaddle/node/Node.java
+++ b/engine/src/main/java/shalepaddle/node/Node.java
@@ -22,7 +22,6 @@
 import shalepaddle.handover.Handover;
 import shalepaddle.handover.InheritedListener;
 import shalepaddle.handover.ProcessFiles;
-import shalepaddle.handover.Word;
 import shalepaddle.loop.Clock;
 import shalepaddle.loop.Log;
 import shalepaddle.loop.LoopClock;
@@ -281,8 +280,8 @@
       log.line("learned from " + past.size() + " attempts of the process before");
     }
     // Before the first request: what operators have said holds for every process of the node.
-    List<Word> words = files.others().words();
-    loop.submit(() -> balancer.partnered(words, 0, 0, 0)).await();
+    handover.look();
+    loop.submit(() -> {}).await();
   }
 
   private InetSocketAddress listen() throws IOException, InterruptedException {
