Starts recover, repeats get what is left over, and who insists is read from later

Change: LoadLimit regains fast for its first 100 intervals; Admission lends half of what the limit leaves over to repeats; Insistence (pure, per connection) says for how long a connection is read later that came again for the same key before its advice was over, 100 ms at most. Answers are never held back.

Tests seen failing without each part. Tried: all of what is left over to repeats (turns of 21 ms at 3 times the load).

--- a/core/src/main/java/shalepaddle/overload/Admission.java
+++ b/core/src/main/java/shalepaddle/overload/Admission.java
@@ -22,6 +22,9 @@
   /** Repeats that may be saved up. */
   private static final double REPEAT_BURST = 20;
 
+  /** Repeats that an interval's spare admits at most: some hundred times what a loop does then. */
+  private static final double MOST_SPARE = 100_000;
+
   private static final double LONGEST_ADVICE = 5;
 
   private final Tuning tuning;
@@ -79,7 +82,8 @@
     boolean pass = passing[tier] >= 1 || random.nextDouble() < passing[tier];
     if (pass && limited()) {
       if (!repeat) {
-        repeatTokens = Math.min(REPEAT_BURST, repeatTokens + tuning.repeats());
+        repeatTokens =
+            Math.max(repeatTokens, Math.min(REPEAT_BURST, repeatTokens + tuning.repeats()));
       } else if (repeatTokens >= 1) {
         repeatTokens--;
       } else {
@@ -122,12 +126,24 @@
       if (tuning.sheds()) {
         limit.next(stood, admitted / seconds, sum(offeredRates));
         dealOut();
+        spare(seconds);
       }
     }
     Arrays.fill(offered, 0);
     admitted = 0;
   }
 
+  /**
+   * What the limit left over may go to repeats. Guards against a standstill in which all clients
+   * repeat: with no first tries there is no share of them.
+   */
+  private void spare(double seconds) {
+    if (limited()) {
+      double spare = (limit.limit() * seconds - admitted) / 2;
+      repeatTokens = Math.max(repeatTokens, Math.min(spare, MOST_SPARE));
+    }
+  }
+
   private void dealOut() {
     double left = limit.limit();
     for (int tier = 0; tier < passing.length; tier++) {
--- a/core/src/main/java/shalepaddle/overload/LoadLimit.java
+++ b/core/src/main/java/shalepaddle/overload/LoadLimit.java
@@ -23,8 +23,10 @@
  *
  * <p>A delay that falls is a queue that drains: cutting on would cut for the same queue again and
  * again. What was admitted when the loop was last behind is about what it can do, so the limit
- * comes back to there fast and feels its way slowly from there on, as CUBIC does (RFC 9438). It is
- * lifted once it has exceeded what is offered for a second.
+ * comes back to there fast and feels its way slowly from there on, as CUBIC does (RFC 9438). For
+ * the first {@value #YOUNG} intervals it always comes back fast: what a start could do while its
+ * code was compiled says nothing of what it can do now. It is lifted once it has exceeded what is
+ * offered for a second.
  *
  * <p>Guards against a queue before the event loop in which every request waits until its answer is
  * useless. A limit on the rate, rather than on a share of what comes, holds also while a storm of
@@ -69,11 +71,18 @@
 
   private static final double AMPLE = 1.2;
 
+  /**
+   * For so many intervals what the process can do is not known: its code is being compiled, and
+   * does several times as much a moment later as when it was last behind.
+   */
+  private static final int YOUNG = 100;
+
   private final double target;
   private double limit = Double.POSITIVE_INFINITY;
   private double able;
   private double before;
   private int ample;
+  private int young = YOUNG;
 
   LoadLimit(double target) {
     this.target = target;
@@ -97,7 +106,7 @@
       }
       ample = 0;
     } else if (limited()) {
-      limit *= 1 + (limit < KNOWN * able ? REGAIN : GROWTH);
+      limit *= 1 + (limit < KNOWN * able || young > 0 ? REGAIN : GROWTH);
       ample = limit >= AMPLE * offered ? ample + 1 : 0;
       if (ample >= LIFT_AFTER) {
         limit = Double.POSITIVE_INFINITY;
@@ -106,6 +115,7 @@
     }
     before = standing;
     able *= FADES;
+    young = Math.max(0, young - 1);
     return limit;
   }
 
--- a/core/src/test/java/shalepaddle/overload/LoopModel.java
+++ b/core/src/test/java/shalepaddle/overload/LoopModel.java
@@ -25,6 +25,13 @@
   /** What is asked, and of which kind. */
   private record Ask(long at, long asked, int serviceClass, int tries) {}
 
+  /**
+   * A client that asks as soon as it is answered, until then.
+   *
+   * @param insists whether it asks for the same again where it was refused, and not for the next
+   */
+  private record Client(long until, boolean insists, Insistence insistence) {}
+
   /** What became of a request. */
   record Fate(long asked, int serviceClass, int tries, boolean served, long took) {}
 
@@ -34,7 +41,7 @@
   private final int repeats;
   private final ArrayDeque<Ask> queue = new ArrayDeque<>();
   private final PriorityQueue<Ask> coming = new PriorityQueue<>(Comparator.comparingLong(Ask::at));
-  private final Map<Ask, Long> closed = new IdentityHashMap<>();
+  private final Map<Ask, Client> closed = new IdentityHashMap<>();
   final List<Fate> fates = new ArrayList<>();
   final List<String> levels = new ArrayList<>();
 
@@ -53,6 +60,9 @@
   private double perSecond;
   private double submits = 0.08;
   private long nextAsk = Long.MAX_VALUE;
+  private double coldTimes = 1;
+  private long coldFrom;
+  private long coldNanos = 1;
 
   /**
    * A loop at rest.
@@ -124,15 +134,37 @@
 
   /** The same, until then. */
   LoopModel clients(int count, long until) {
+    return clients(count, until, false);
+  }
+
+  /** The same with clients that repeat what was refused, as if nothing had been advised. */
+  LoopModel insisting(int count) {
+    return clients(count, Long.MAX_VALUE, true);
+  }
+
+  private LoopModel clients(int count, long until, boolean insists) {
     List<Ask> come = new ArrayList<>();
     for (int i = 0; i < count; i++) {
       come.add(new Ask(now, now, i % 12 == 0 ? SUBMIT : 0, 0));
     }
-    come.forEach(ask -> closed.put(ask, until));
+    come.forEach(ask -> closed.put(ask, new Client(until, insists, new Insistence())));
     coming.addAll(come);
     return this;
   }
 
+  /** Serving takes so many times as long now, and falls to the usual within so long. */
+  LoopModel cold(double times, long nanos) {
+    coldTimes = times;
+    coldFrom = now;
+    coldNanos = nanos;
+    return this;
+  }
+
+  private double coldness() {
+    double left = 1 - (now - coldFrom) / (double) coldNanos;
+    return left > 0 ? 1 + (coldTimes - 1) * left : 1;
+  }
+
   private long gap() {
     return perSecond == 0
         ? Long.MAX_VALUE / 2
@@ -186,13 +218,10 @@
               ? OverloadControl.ADMITTED
               : control.ask(ask.serviceClass(), -1, ask.asked(), ask.tries() > 0, now);
       boolean served = advice == OverloadControl.ADMITTED;
-      now += (long) (SERVING * (served ? 1 : refusing));
-      Long until = closed.remove(ask);
-      if (until != null && now < until) {
-        long back = now + LOOPBACK;
-        Ask next = new Ask(back, back, ask.serviceClass(), 0);
-        closed.put(next, until);
-        coming.add(next);
+      now += (long) (SERVING * coldness() * (served ? 1 : refusing));
+      Client client = closed.remove(ask);
+      if (client != null && now < client.until()) {
+        again(client, ask, advice);
       }
       if (!served && ask.tries() < repeats) {
         long back = now + 5 * MILLI + random.nextLong(45 * MILLI);
@@ -204,6 +233,17 @@
     }
   }
 
+  /** A client goes on; what it sends is read when its connection is. */
+  private void again(Client client, Ask ask, long advice) {
+    boolean same = client.insists() && advice != OverloadControl.ADMITTED;
+    long pause = same ? client.insistence().refused(ask.asked(), advice * MILLI, now) : 0;
+    long back = now + LOOPBACK + pause;
+    Ask next =
+        new Ask(back, same ? ask.asked() : back, ask.serviceClass(), same ? ask.tries() + 1 : 0);
+    closed.put(next, client);
+    coming.add(next);
+  }
+
   /** The part of the requests of a class, asked since then, that was served so soon. */
   double within(int serviceClass, long since, long nanos) {
     List<Fate> asked =
--- a/core/src/test/java/shalepaddle/overload/SheddingTest.java
+++ b/core/src/test/java/shalepaddle/overload/SheddingTest.java
@@ -136,6 +136,38 @@
         after >= 0.95, clients + " clients: " + seen + " " + loop.control().reading().limit());
   }
 
+  /**
+   * Each repeats at once what was refused, with nobody left who asks for the first time. What they
+   * send is answered when it is read, and read later.
+   */
+  @ParameterizedTest
+  @CsvSource({"150, 0.2", "300, 0.2", "300, 0.4", "600, 0.2"})
+  void clientsThatInsistDoNotTakeTheLoopsTime(int clients, double refusing) {
+    LoopModel loop = new LoopModel(true, refusing, 0).insisting(clients);
+    loop.run(4 * SECOND);
+    double rest = loop.served(loop.now - SECOND, loop.now);
+    loop.stop(SECOND);
+    loop.run(2 * SECOND);
+    long since = loop.now;
+    loop.run(SECOND);
+    double after = loop.served(since, loop.now);
+    assertTrue(rest >= 0.85 && after >= 0.85, rest + " at rest, " + after + " after a pause");
+  }
+
+  /** Code that is not compiled yet takes eight times as long at first, and the usual after 2 s. */
+  @ParameterizedTest
+  @CsvSource({"4000, 0, 0.4", "7000, 0, 0.7", "0, 64, 1", "0, 130, 1"})
+  void aStartThatIsSlowAtFirstIsAtItsFullServiceTwoSecondsLater(
+      int perSecond, int clients, double full) {
+    LoopModel loop = new LoopModel(true, 0.2, 0).load(perSecond, 0.08).clients(clients);
+    loop.cold(8, 2 * SECOND);
+    loop.run(4 * SECOND);
+    long since = loop.now;
+    loop.run(SECOND);
+    double served = loop.served(since, loop.now);
+    assertTrue(served >= 0.95 * full, served + " of the loop's time serves");
+  }
+
   @Test
   void aShareOfEveryTierAlwaysPasses() {
     LoopModel loop = new LoopModel(true, REFUSING, 1).load(60000, 0.3);
--- a/engine/src/main/java/shalepaddle/codec/meta/MetaCommandDecoder.java
+++ b/engine/src/main/java/shalepaddle/codec/meta/MetaCommandDecoder.java
@@ -7,6 +7,7 @@
 import shalepaddle.engine.MemoryBudget;
 import shalepaddle.front.ClientCodec;
 import shalepaddle.front.ClientCommand;
+import shalepaddle.front.ClientCommand.Refused;
 import shalepaddle.front.Gate;
 import shalepaddle.model.Request;
 
@@ -109,7 +110,7 @@
    */
   private ClientCommand refuse(ByteBufAllocator allocator, ByteBuf in) {
     ByteBuf answers = null;
-    int refused = 0;
+    Refused refused = Refused.NONE;
     while (write == null) {
       int start = in.readerIndex();
       int newline = in.bytesBefore(Math.min(in.readableBytes(), MetaLine.MAX_LENGTH), (byte) '\n');
@@ -127,10 +128,12 @@
       if (glance.length < 0) {
         answers = answers == null ? allocator.buffer(MetaReplies.BUSY_LENGTH) : answers;
         MetaReplies.busy(answers, advice);
-        refused++;
+        refused = new Refused(refused.count() + 1, glance.subject, advice);
       } else {
         ByteBuf answer = allocator.buffer(MetaReplies.BUSY_LENGTH);
-        write = ClientCommand.refused(MetaReplies.busy(answer, advice), 1);
+        write =
+            ClientCommand.refused(
+                MetaReplies.busy(answer, advice), new Refused(1, glance.subject, advice));
         value = null;
         missing = glance.length + 2;
       }
@@ -195,7 +198,9 @@
         // dropped, and refused, which is true since it has never gone out.
         gate.turnedAway(command.request().serviceClass());
         command.release();
-        command = ClientCommand.refused(MetaReplies.line(allocator, "SERVER_ERROR busy"), 1);
+        command =
+            ClientCommand.refused(
+                MetaReplies.line(allocator, "SERVER_ERROR busy"), new Refused(1, 0, 0));
       }
       write = command;
       missing = length + 2;
@@ -204,11 +209,11 @@
   }
 
   private static ClientCommand answer(ByteBufAllocator allocator, String text) {
-    return new ClientCommand(MetaReplies.line(allocator, text), false, false, 0, null, null);
+    return ClientCommand.answer(MetaReplies.line(allocator, text), false, false);
   }
 
   private static ClientCommand error(ByteBufAllocator allocator, String text, boolean lost) {
-    return new ClientCommand(MetaReplies.line(allocator, text), true, lost, 0, null, null);
+    return ClientCommand.answer(MetaReplies.line(allocator, text), true, lost);
   }
 
   private static boolean visible(MetaLine line) {
--- a/engine/src/main/java/shalepaddle/front/ClientCommand.java
+++ b/engine/src/main/java/shalepaddle/front/ClientCommand.java
@@ -11,22 +11,44 @@
  * @param error whether that answer says that the client broke the protocol
  * @param lost whether the client's bytes can no longer be told apart, so that its connection must
  *     close
- * @param refused how many requests these are the answers to, of which no more was read than it
- *     takes to refuse them; 0 where it is no such answer
+ * @param refused the requests that this is the answer to, of which no more was read than it takes
+ *     to refuse them; {@link Refused#NONE} where it is no such answer
  * @param request what it asks for, null where it is answered at once
  * @param payload what is passed on, null where it is answered at once
  */
 public record ClientCommand(
-    ByteBuf answer, boolean error, boolean lost, int refused, Request request, Payload payload) {
+    ByteBuf answer,
+    boolean error,
+    boolean lost,
+    Refused refused,
+    Request request,
+    Payload payload) {
+
+  /**
+   * Requests in a row that were refused.
+   *
+   * @param count how many
+   * @param subject a hash of what the last of them asked for
+   * @param adviceMillis for how long its client was told to stay away, 0 for no advice
+   */
+  public record Refused(int count, long subject, long adviceMillis) {
+    /** No request was refused. */
+    public static final Refused NONE = new Refused(0, 0, 0);
+  }
 
   /** A request for the engine. */
   public static ClientCommand of(Request request, Payload payload) {
-    return new ClientCommand(null, false, false, 0, request, payload);
+    return new ClientCommand(null, false, false, Refused.NONE, request, payload);
+  }
+
+  /** What is answered at once, in these words. */
+  public static ClientCommand answer(ByteBuf answer, boolean error, boolean lost) {
+    return new ClientCommand(answer, error, lost, Refused.NONE, null, null);
   }
 
-  /** Requests in a row, so many of them, that are refused in these words. */
-  public static ClientCommand refused(ByteBuf answers, int count) {
-    return new ClientCommand(answers, false, false, count, null, null);
+  /** Requests in a row that are refused in these words. */
+  public static ClientCommand refused(ByteBuf answers, Refused refused) {
+    return new ClientCommand(answers, false, false, refused, null, null);
   }
 
   /** Lets go what it holds. */
--- a/engine/src/main/java/shalepaddle/front/ClientHandler.java
+++ b/engine/src/main/java/shalepaddle/front/ClientHandler.java
@@ -17,6 +17,7 @@
 import shalepaddle.engine.Submission;
 import shalepaddle.engine.ValueSource;
 import shalepaddle.loop.LoopClock;
+import shalepaddle.overload.Insistence;
 
 /** A client's connection: takes its commands and gives the answers in their order. */
 final class ClientHandler extends ChannelInboundHandlerAdapter {
@@ -51,9 +52,10 @@
 
   private final Turns turns;
   private final Turns.Count sent = new Turns.Count();
+  private final Insistence insistence = new Insistence();
   private int errors;
 
-  /** For errors, or for having sent the most. */
+  /** For errors, for having sent the most, or for coming again too soon. */
   private final Rest rest = new Rest();
 
   /**
@@ -262,7 +264,8 @@
       return;
     }
     reading = true;
-    int asks = command.answer() == null ? 1 : command.refused();
+    ClientCommand.Refused refused = command.refused();
+    int asks = command.answer() == null ? 1 : refused.count();
     used |= asks > 0;
     Slot slot = new Slot();
     slots.add(slot);
@@ -284,9 +287,19 @@
       slot.last = command.lost() || errors >= MAX_ERRORS;
       slot.whole(answer);
     }
-    long pause = asks > 0 ? turns.pause(sent, asks, clock.now()) : 0;
-    if (pause > 0) {
-      pause(pause);
+    if (asks > 0) {
+      long pause = turns.pause(sent, asks, clock.now());
+      if (refused.count() > 0) {
+        long early =
+            insistence.refused(
+                refused.subject(),
+                TimeUnit.MILLISECONDS.toNanos(refused.adviceMillis()),
+                clock.now());
+        pause = Math.max(pause, early);
+      }
+      if (pause > 0) {
+        pause(pause);
+      }
     }
     if (slots.size() >= turns.owed()) {
       steer();
--- /dev/null
+++ b/engine/src/test/java/shalepaddle/node/InsistentClientTest.java
@@ -0,0 +1,139 @@
+package shalepaddle.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import shalepaddle.codec.meta.MetaClientCodec;
+import shalepaddle.engine.Attempt;
+import shalepaddle.engine.Dispatcher;
+import shalepaddle.engine.MemoryBudget;
+import shalepaddle.engine.Upstream;
+import shalepaddle.front.ClientFront;
+import shalepaddle.front.Gate;
+import shalepaddle.joining.JoiningTuning;
+import shalepaddle.loop.LoopClock;
+import shalepaddle.overload.Posture;
+
+/** Who comes again before the time that a refusal named: answered at once, and read later. */
+class InsistentClientTest {
+  private static final long ADVICE_MILLIS = 60;
+
+  private final VirtualEngine engine =
+      new VirtualEngine(
+          new LoopClock.Listener() {
+            @Override
+            public void paused(long nanos) {}
+
+            @Override
+            public void turned(long begunAt, long now) {}
+
+            @Override
+            public void failed(RuntimeException cause) {
+              throw cause;
+            }
+          });
+
+  private final EmbeddedChannel client;
+
+  InsistentClientTest() throws Exception {
+    Dispatcher dispatcher =
+        engine.start(
+            "\"attempts-cap\":1",
+            """
+            {"name":"read","effect":"retryable","slo":0.75,"give-up":2,"credit":2}
+            """,
+            JoiningTuning.OFF,
+            new Upstream() {
+              @Override
+              public void send(Attempt attempt) {
+                throw new AssertionError("all are refused");
+              }
+
+              @Override
+              public void withdraw(Attempt attempt, boolean overdue) {}
+
+              @Override
+              public void closeIdle(long server) {}
+            },
+            7);
+    Gate refusing =
+        new Gate() {
+          @Override
+          public boolean shuts() {
+            return true;
+          }
+
+          @Override
+          public long ask(int serviceClass, int tenant, long subject, boolean repeat) {
+            return ADVICE_MILLIS;
+          }
+        };
+    try (NodeRig rig = new NodeRig()) {
+      MetaClientCodec codec =
+          new MetaClientCodec(new MemoryBudget(1000), rig.config("").settings(), refusing);
+      client =
+          EmbeddedChannel.builder()
+              .ticker(engine.ticker)
+              .handlers(new ClientFront(dispatcher, codec, 8, () -> Posture.CALM))
+              .build();
+    }
+  }
+
+  @AfterEach
+  void close() {
+    client.finishAndReleaseAll();
+    engine.close();
+  }
+
+  private void ask(String key) {
+    String line = "mg " + key + " v Oa Pc=read,d=500\r\n";
+    client.writeInbound(Unpooled.copiedBuffer(line, StandardCharsets.US_ASCII));
+    ByteBuf answer = client.readOutbound();
+    assertEquals("SERVER_ERROR busy 60\r\n", answer.toString(StandardCharsets.US_ASCII));
+    answer.release();
+    assertNull(client.readOutbound());
+  }
+
+  private void pass(long millis) {
+    engine.ticker.advance(millis, TimeUnit.MILLISECONDS);
+    engine.clock.look();
+    client.runScheduledPendingTasks();
+  }
+
+  private boolean readFrom() {
+    return client.config().isAutoRead();
+  }
+
+  @Test
+  void whoRepeatsTooSoonIsReadFromAgainWhenItsAdviceIsOver() {
+    ask("popular");
+    assertTrue(readFrom());
+    pass(20);
+    ask("popular");
+    assertFalse(readFrom(), "40 ms too soon");
+    pass(39);
+    assertFalse(readFrom());
+    pass(1);
+    assertTrue(readFrom());
+  }
+
+  @Test
+  void whoHeedsTheAdviceOrAsksForSomethingElseIsReadFromAsEver() {
+    ask("popular");
+    ask("other");
+    ask("popular");
+    assertTrue(readFrom());
+    pass(ADVICE_MILLIS);
+    ask("popular");
+    assertTrue(readFrom());
+  }
+}
--- a/engine/src/test/java/shalepaddle/node/SheddingNodeTest.java
+++ b/engine/src/test/java/shalepaddle/node/SheddingNodeTest.java
@@ -64,7 +64,7 @@
     EmbeddedChannel channel = channel();
     channel.writeInbound(bytes(NodeRig.get("a1", 500) + NodeRig.put("w1", 500, "value")));
     ClientCommand read = channel.readInbound();
-    assertEquals(1, read.refused());
+    assertEquals(1, read.refused().count());
     assertEquals("SERVER_ERROR busy 40\r\n", answer(read));
     ClientCommand write = channel.readInbound();
     assertEquals("w1", write.request().id());
@@ -82,7 +82,8 @@
       assertNull(channel.<ClientCommand>readInbound());
       channel.writeInbound(bytes(write.substring(cut) + NodeRig.get("a" + cut, 500)));
       ClientCommand refused = channel.readInbound();
-      assertEquals(1, refused.refused());
+      assertEquals(1, refused.refused().count());
+      assertEquals(40, refused.refused().adviceMillis());
       assertEquals("SERVER_ERROR busy 40\r\n", answer(refused));
       assertTrue(budget.reserve(1000), "nothing of the value is held");
       budget.release(1000);
@@ -102,7 +103,7 @@
     asked.append(NodeRig.put("w1", 500, "v")).append(NodeRig.get("b1", 500)).append("mg ke");
     channel.writeInbound(bytes(asked.toString()));
     ClientCommand five = channel.readInbound();
-    assertEquals(5, five.refused());
+    assertEquals(5, five.refused().count());
     assertEquals("SERVER_ERROR busy 40\r\n".repeat(5), answer(five));
     ClientCommand write = channel.readInbound();
     assertEquals("w1", write.request().id(), "what is admitted keeps its place");
@@ -142,7 +143,7 @@
     EmbeddedChannel channel = channel();
     channel.writeInbound(bytes(NodeRig.get("a1", 500) + NodeRig.put("w1", 500, "value")));
     ClientCommand read = channel.readInbound();
-    assertEquals(0, read.refused());
+    assertEquals(0, read.refused().count());
     read.release();
     ((ClientCommand) channel.readInbound()).release();
     assertEquals(List.of("0", "1"), gate.asked);
