Who insists is told by its repeats and their time; after-trigger plays what disturbs a node

Change: Insistence counts repeats against refusals whose advised time has come, in turns of 100 ms (a ring of 16 bytes a connection, allocated at its first refusal); the gate tells whether a refused request was a repeat. benchmarks after-trigger: start under load, pause, burst at several loads and three manners of clients, with a picture; OpenLoad keeps a request's key and can hold one request a connection.

Tried: credit by turns alone, a floor of the limit that counts refusals (docs/design/overload.md).

--- a/benchmarks/src/main/java/shalepaddle/benchmarks/Benchmarks.java
+++ b/benchmarks/src/main/java/shalepaddle/benchmarks/Benchmarks.java
@@ -8,7 +8,7 @@
     name = "benchmarks",
     description = "Measures whole processes, side by side in one run.",
     mixinStandardHelpOptions = true,
-    subcommands = {BesideRelay.class, PastCapacity.class, ColdCaches.class})
+    subcommands = {BesideRelay.class, PastCapacity.class, AfterTrigger.class, ColdCaches.class})
 public final class Benchmarks {
   private Benchmarks() {}
 
--- a/benchmarks/src/main/java/shalepaddle/benchmarks/PastCapacity.java
+++ b/benchmarks/src/main/java/shalepaddle/benchmarks/PastCapacity.java
@@ -119,7 +119,7 @@
             OpenLoad.run(
                 port,
                 connections,
-                new OpenLoad.Manner(able * multiple, writes, repeats),
+                OpenLoad.Manner.steady(able * multiple, writes, repeats),
                 warm,
                 seconds);
         measured.add(new Measured(subject.name(), multiple, result));
--- a/benchmarks/src/main/java/shalepaddle/benchmarks/Subject.java
+++ b/benchmarks/src/main/java/shalepaddle/benchmarks/Subject.java
@@ -1,6 +1,7 @@
 package shalepaddle.benchmarks;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.lang.ProcessBuilder.Redirect;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -64,6 +65,17 @@
           .orElse(Double.NaN);
     }
 
+    /** Sends it a signal, named without its SIG. */
+    void signal(String name) {
+      try {
+        new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
+      } catch (IOException e) {
+        throw new UncheckedIOException(e);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+    }
+
     @Override
     public void close() {
       process.destroyForcibly().onExit().join();
--- a/core/src/main/java/shalepaddle/overload/OverloadControl.java
+++ b/core/src/main/java/shalepaddle/overload/OverloadControl.java
@@ -20,6 +20,9 @@
   /** The answer to a request that is admitted. */
   public static final long ADMITTED = -1;
 
+  /** Added to the advice of a refusal whose client has tried before, as far as is known. */
+  public static final long REPEAT = 1L << 40;
+
   private Settings settings;
   private final Tuning tuning;
   private Tiers tiers;
@@ -124,7 +127,7 @@
    * @param subject a hash of its key
    * @param marked whether its client marked it as a repeat
    * @return {@link #ADMITTED}, or in how many milliseconds its client should come again, 0 for no
-   *     advice
+   *     advice, with {@link #REPEAT} added where it has come again
    */
   public long ask(int serviceClass, int tenant, long subject, boolean marked, long now) {
     if (serviceClass >= settings.services().size()) {
@@ -133,7 +136,7 @@
     boolean pastShare = shares.pastShare(tenant, now);
     int tier = tiers.of(serviceClass, marked, pastShare);
     if (Places.refuses(tier, tiers.count(), places)) {
-      return advice();
+      return advice() + (marked ? REPEAT : 0);
     }
     if (!admission.limited()) {
       // Counted, and a repeat is of no matter yet: nothing was refused here.
@@ -148,7 +151,7 @@
     if (!settings.marksRepeats()) {
       guess.refused(subject, serviceClass, now);
     }
-    return advice();
+    return advice() + (repeat ? REPEAT : 0);
   }
 
   /** Milliseconds for which a client that is refused now should stay away, 0 for no advice. */
--- a/core/src/test/java/shalepaddle/overload/SheddingTest.java
+++ b/core/src/test/java/shalepaddle/overload/SheddingTest.java
@@ -168,6 +168,33 @@
     assertTrue(served >= 0.95 * full, served + " of the loop's time serves");
   }
 
+  /**
+   * Callers who wait for one of 256 connections and ask again at once, for two seconds each: a cold
+   * start leaves all connections with repeats.
+   */
+  @ParameterizedTest
+  @CsvSource({"4000, 0.4", "7000, 0.1", "7000, 0.2", "7000, 0.4"})
+  void aStormOfRepeatsThatAStartSetOffIsOverTwoSecondsLater(int perSecond, double refusing) {
+    LoopModel loop = new LoopModel(true, refusing, 0).storm(perSecond, 256);
+    loop.cold(8, 2 * SECOND);
+    loop.run(4 * SECOND);
+    long since = loop.now;
+    loop.run(SECOND);
+    double served = loop.served(since, loop.now);
+    assertTrue(served >= 0.95 * perSecond / 10_000, served + " of the loop's time serves");
+  }
+
+  /** The model tells the two apart: the rule that reads insisting clients later is what ends it. */
+  @Test
+  void theStormGoesOnWhereWhoInsistsIsReadAsEver() {
+    LoopModel loop = new LoopModel(true, 0.4, 0).storm(7000, 256).withoutInsistence();
+    loop.cold(8, 2 * SECOND);
+    loop.run(4 * SECOND);
+    long since = loop.now;
+    loop.run(SECOND);
+    assertTrue(loop.served(since, loop.now) < 0.95 * 0.7);
+  }
+
   @Test
   void aShareOfEveryTierAlwaysPasses() {
     LoopModel loop = new LoopModel(true, REFUSING, 1).load(60000, 0.3);
--- a/engine/src/main/java/shalepaddle/codec/meta/MetaCommandDecoder.java
+++ b/engine/src/main/java/shalepaddle/codec/meta/MetaCommandDecoder.java
@@ -119,21 +119,22 @@
           || !glance.read(in, start, start + newline - 1)) {
         break;
       }
-      long advice = gate.ask(glance.serviceClass, glance.tenant, glance.subject, glance.repeat);
-      if (advice == Gate.ADMITTED) {
+      long verdict = gate.ask(glance.serviceClass, glance.tenant, glance.subject, glance.repeat);
+      if (verdict == Gate.ADMITTED) {
         asked = true;
         break;
       }
+      long advice = verdict & ~Gate.REPEAT;
+      int repeat = verdict == advice ? 0 : 1;
       in.skipBytes(newline + 1);
       if (glance.length < 0) {
         answers = answers == null ? allocator.buffer(MetaReplies.BUSY_LENGTH) : answers;
         MetaReplies.busy(answers, advice);
-        refused = new Refused(refused.count() + 1, glance.subject, advice);
+        refused = new Refused(refused.count() + 1, refused.repeats() + repeat, advice);
       } else {
         ByteBuf answer = allocator.buffer(MetaReplies.BUSY_LENGTH);
         write =
-            ClientCommand.refused(
-                MetaReplies.busy(answer, advice), new Refused(1, glance.subject, advice));
+            ClientCommand.refused(MetaReplies.busy(answer, advice), new Refused(1, repeat, advice));
         value = null;
         missing = glance.length + 2;
       }
--- a/engine/src/main/java/shalepaddle/front/ClientCommand.java
+++ b/engine/src/main/java/shalepaddle/front/ClientCommand.java
@@ -28,10 +28,11 @@
    * Requests in a row that were refused.
    *
    * @param count how many
-   * @param subject a hash of what the last of them asked for
-   * @param adviceMillis for how long its client was told to stay away, 0 for no advice
+   * @param repeats how many of them had been tried before, as far as is known
+   * @param adviceMillis for how long the client of the last of them was told to stay away, 0 for no
+   *     advice
    */
-  public record Refused(int count, long subject, long adviceMillis) {
+  public record Refused(int count, int repeats, long adviceMillis) {
     /** No request was refused. */
     public static final Refused NONE = new Refused(0, 0, 0);
   }
--- a/engine/src/main/java/shalepaddle/front/ClientHandler.java
+++ b/engine/src/main/java/shalepaddle/front/ClientHandler.java
@@ -225,9 +225,19 @@
     pause(TimeUnit.MILLISECONDS.toNanos(PENALTY_MILLIS));
   }
 
-  /** Reads nothing for so long at least. */
+  /** For how long to read nothing, since requests in a row were refused. */
+  private long insists(ClientCommand.Refused refused) {
+    long advice = TimeUnit.MILLISECONDS.toNanos(refused.adviceMillis());
+    long pause = 0;
+    for (int i = 0; i < refused.count(); i++) {
+      pause = insistence.refused(i < refused.repeats(), advice, clock.now());
+    }
+    return pause;
+  }
+
+  /** Reads nothing for so long at least, 0 to go on. */
   private void pause(long nanos) {
-    if (rest.atLeast(clock.now(), nanos)) {
+    if (nanos > 0 && rest.atLeast(clock.now(), nanos)) {
       steer();
       resumeIn(nanos);
     }
@@ -288,18 +298,7 @@
       slot.whole(answer);
     }
     if (asks > 0) {
-      long pause = turns.pause(sent, asks, clock.now());
-      if (refused.count() > 0) {
-        long early =
-            insistence.refused(
-                refused.subject(),
-                TimeUnit.MILLISECONDS.toNanos(refused.adviceMillis()),
-                clock.now());
-        pause = Math.max(pause, early);
-      }
-      if (pause > 0) {
-        pause(pause);
-      }
+      pause(Math.max(turns.pause(sent, asks, clock.now()), insists(refused)));
     }
     if (slots.size() >= turns.owed()) {
       steer();
--- a/engine/src/main/java/shalepaddle/front/Gate.java
+++ b/engine/src/main/java/shalepaddle/front/Gate.java
@@ -12,6 +12,9 @@
   /** The answer for a request that is admitted. */
   long ADMITTED = OverloadControl.ADMITTED;
 
+  /** Added to the advice of a refusal whose client has tried before, as far as is known. */
+  long REPEAT = OverloadControl.REPEAT;
+
   /** Admits all and counts nothing. */
   Gate OPEN =
       new Gate() {
@@ -37,7 +40,7 @@
    * @param subject a hash of its key
    * @param repeat whether its client marked it as a repeat
    * @return {@link #ADMITTED}, or in how many milliseconds its client should come again, 0 for no
-   *     advice
+   *     advice, with {@link #REPEAT} added where it has come again
    */
   long ask(int serviceClass, int tenant, long subject, boolean repeat);
 
