--- /dev/null
+++ b/cluster/src/main/java/shalepaddle/formats/Endpoint.java
@@ -0,0 +1,29 @@
+package shalepaddle.formats;
+
+import io.microraft.RaftEndpoint;
+
+/**
+ * A member, by the name under which it votes. A machine that has lost its disk comes back under
+ * another.
+ */
+public record Endpoint(String name) implements RaftEndpoint, Comparable<Endpoint> {
+  @Override
+  public Object getId() {
+    return name;
+  }
+
+  @Override
+  public int compareTo(Endpoint other) {
+    return name.compareTo(other.name);
+  }
+
+  /** The name of a member as the library has it. */
+  static String of(RaftEndpoint endpoint) {
+    return endpoint == null ? null : ((Endpoint) endpoint).name();
+  }
+
+  /** The member of this name, null for none. */
+  static Endpoint named(String name) {
+    return name == null ? null : new Endpoint(name);
+  }
+}
--- /dev/null
+++ b/cluster/src/main/java/shalepaddle/formats/LogForms.java
@@ -0,0 +1,149 @@
+package shalepaddle.formats;
+
+import io.microraft.MembershipChangeMode;
+import io.microraft.RaftEndpoint;
+import io.microraft.model.RaftModelFactory;
+import io.microraft.model.groupop.UpdateRaftGroupMembersOp;
+import io.microraft.model.impl.DefaultRaftModelFactory;
+import io.microraft.model.log.LogEntry;
+import io.microraft.model.log.RaftGroupMembersView;
+import io.microraft.model.log.SnapshotChunk;
+import io.microraft.model.persistence.RaftTermPersistentState;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashSet;
+import java.util.List;
+
+/** The forms of what the log is made of. */
+public final class LogForms {
+  /** What a new leader begins its term with: it asks for nothing. */
+  public static final byte[] NOTHING = new byte[0];
+
+  private static final RaftModelFactory MODEL = new DefaultRaftModelFactory();
+  private static final int BYTES = 1;
+  private static final int MEMBERS = 2;
+
+  private LogForms() {}
+
+  /** Makes what the library works with. */
+  public static RaftModelFactory model() {
+    return MODEL;
+  }
+
+  static void members(Collection<RaftEndpoint> members, Values.Writer out) throws IOException {
+    out.each(members, (member, to) -> to.put(Endpoint.of(member)));
+  }
+
+  static Collection<RaftEndpoint> members(Values.Reader in) throws IOException {
+    List<RaftEndpoint> members = in.each(from -> Endpoint.named(from.text()));
+    return new LinkedHashSet<>(members);
+  }
+
+  /** Who is in the group, and who votes. */
+  public static void view(RaftGroupMembersView view, Values.Writer out) throws IOException {
+    out.put(view.getLogIndex());
+    members(view.getMembers(), out);
+    members(view.getVotingMembers(), out);
+  }
+
+  /** The same, read. */
+  public static RaftGroupMembersView view(Values.Reader in) throws IOException {
+    return MODEL
+        .createRaftGroupMembersViewBuilder()
+        .setLogIndex(in.number())
+        .setMembers(members(in))
+        .setVotingMembers(members(in))
+        .build();
+  }
+
+  private static void operation(Object operation, Values.Writer out) throws IOException {
+    if (operation instanceof byte[] bytes) {
+      out.put(BYTES).put(bytes);
+    } else if (operation instanceof UpdateRaftGroupMembersOp change) {
+      out.put(MEMBERS);
+      members(change.getMembers(), out);
+      members(change.getVotingMembers(), out);
+      out.put(Endpoint.of(change.getEndpoint())).put(change.getMode().name());
+    } else {
+      throw new IOException("no form for " + operation);
+    }
+  }
+
+  private static Object operation(Values.Reader in) throws IOException {
+    int kind = in.small();
+    return switch (kind) {
+      case BYTES -> in.bytes();
+      case MEMBERS ->
+          MODEL
+              .createUpdateRaftGroupMembersOpBuilder()
+              .setMembers(members(in))
+              .setVotingMembers(members(in))
+              .setEndpoint(Endpoint.named(in.text()))
+              .setMode(MembershipChangeMode.valueOf(in.text()))
+              .build();
+      default -> throw new IOException("an entry of form " + kind + ", made by a later version");
+    };
+  }
+
+  /** An entry of the log. */
+  public static void entry(LogEntry entry, Values.Writer out) throws IOException {
+    out.put(entry.getIndex()).put(entry.getTerm());
+    operation(entry.getOperation(), out);
+  }
+
+  /** The same, read. */
+  public static LogEntry entry(Values.Reader in) throws IOException {
+    return MODEL
+        .createLogEntryBuilder()
+        .setIndex(in.number())
+        .setTerm(in.small())
+        .setOperation(operation(in))
+        .build();
+  }
+
+  /** A part of a snapshot. */
+  public static void chunk(SnapshotChunk chunk, Values.Writer out) throws IOException {
+    out.put(chunk.getIndex())
+        .put(chunk.getTerm())
+        .put(chunk.getSnapshotChunkIndex())
+        .put(chunk.getSnapshotChunkCount());
+    view(chunk.getGroupMembersView(), out);
+    operation(chunk.getOperation(), out);
+  }
+
+  /** The same, read. */
+  public static SnapshotChunk chunk(Values.Reader in) throws IOException {
+    return MODEL
+        .createSnapshotChunkBuilder()
+        .setIndex(in.number())
+        .setTerm(in.small())
+        .setSnapshotChunkIndex(in.small())
+        .setSnapshotChunkCount(in.small())
+        .setGroupMembersView(view(in))
+        .setOperation(operation(in))
+        .build();
+  }
+
+  /** The term, and who has this member's vote in it. */
+  public static void term(RaftTermPersistentState term, Values.Writer out) throws IOException {
+    out.put(term.getTerm()).put(Endpoint.of(term.getVotedFor()));
+  }
+
+  /** The same, read. */
+  public static RaftTermPersistentState term(Values.Reader in) throws IOException {
+    return MODEL
+        .createRaftTermPersistentStateBuilder()
+        .setTerm(in.small())
+        .setVotedFor(Endpoint.named(in.text()))
+        .build();
+  }
+
+  /** The names of members, in order. */
+  public static List<String> names(Collection<RaftEndpoint> members) {
+    List<String> names = new ArrayList<>();
+    members.forEach(member -> names.add(Endpoint.of(member)));
+    names.sort(null);
+    return names;
+  }
+}
--- /dev/null
+++ b/cluster/src/main/java/shalepaddle/formats/MessageForms.java
@@ -0,0 +1,217 @@
+package shalepaddle.formats;
+
+import io.microraft.RaftEndpoint;
+import io.microraft.model.RaftModelFactory;
+import io.microraft.model.log.SnapshotChunk;
+import io.microraft.model.message.AppendEntriesFailureResponse;
+import io.microraft.model.message.AppendEntriesRequest;
+import io.microraft.model.message.AppendEntriesSuccessResponse;
+import io.microraft.model.message.InstallSnapshotRequest;
+import io.microraft.model.message.InstallSnapshotResponse;
+import io.microraft.model.message.PreVoteRequest;
+import io.microraft.model.message.PreVoteResponse;
+import io.microraft.model.message.RaftMessage;
+import io.microraft.model.message.TriggerLeaderElectionRequest;
+import io.microraft.model.message.VoteRequest;
+import io.microraft.model.message.VoteResponse;
+import java.io.IOException;
+import java.util.List;
+
+/** The forms of what members send each other to agree. */
+public final class MessageForms {
+  private static final RaftModelFactory MODEL = LogForms.model();
+
+  private MessageForms() {}
+
+  /** A message's bytes. */
+  public static byte[] message(RaftMessage message) {
+    return Values.write(message, MessageForms::write);
+  }
+
+  private static void write(RaftMessage message, Values.Writer out) throws IOException {
+    out.put(kind(message))
+        .put((String) message.getGroupId())
+        .put(Endpoint.of(message.getSender()))
+        .put(message.getTerm());
+    if (message instanceof AppendEntriesRequest m) {
+      out.put(m.getPreviousLogTerm()).put(m.getPreviousLogIndex()).put(m.getCommitIndex());
+      out.each(m.getLogEntries(), LogForms::entry);
+      out.put(m.getQuerySequenceNumber()).put(m.getFlowControlSequenceNumber());
+    } else if (message instanceof AppendEntriesSuccessResponse m) {
+      out.put(m.getLastLogIndex()).put(m.getQuerySequenceNumber());
+      out.put(m.getFlowControlSequenceNumber());
+    } else if (message instanceof AppendEntriesFailureResponse m) {
+      out.put(m.getExpectedNextIndex()).put(m.getQuerySequenceNumber());
+      out.put(m.getFlowControlSequenceNumber());
+    } else if (message instanceof PreVoteRequest m) {
+      out.put(m.getLastLogTerm()).put(m.getLastLogIndex());
+    } else if (message instanceof PreVoteResponse m) {
+      out.put(m.isGranted());
+    } else if (message instanceof VoteRequest m) {
+      out.put(m.getLastLogTerm()).put(m.getLastLogIndex()).put(m.isSticky());
+    } else if (message instanceof VoteResponse m) {
+      out.put(m.isGranted());
+    } else if (message instanceof TriggerLeaderElectionRequest m) {
+      out.put(m.getLastLogTerm()).put(m.getLastLogIndex());
+    } else if (message instanceof InstallSnapshotRequest m) {
+      out.put(m.isSenderLeader()).put(m.getSnapshotTerm()).put(m.getSnapshotIndex());
+      out.put(m.getTotalSnapshotChunkCount());
+      SnapshotChunk chunk = m.getSnapshotChunk();
+      out.each(chunk == null ? List.of() : List.of(chunk), LogForms::chunk);
+      LogForms.members(m.getSnapshottedMembers(), out);
+      LogForms.view(m.getGroupMembersView(), out);
+      out.put(m.getQuerySequenceNumber()).put(m.getFlowControlSequenceNumber());
+    } else if (message instanceof InstallSnapshotResponse m) {
+      out.put(m.getSnapshotIndex()).put(m.getRequestedSnapshotChunkIndex());
+      out.put(m.getQuerySequenceNumber()).put(m.getFlowControlSequenceNumber());
+    }
+  }
+
+  private static int kind(RaftMessage message) throws IOException {
+    if (message instanceof AppendEntriesRequest) {
+      return 1;
+    } else if (message instanceof AppendEntriesSuccessResponse) {
+      return 2;
+    } else if (message instanceof AppendEntriesFailureResponse) {
+      return 3;
+    } else if (message instanceof PreVoteRequest) {
+      return 4;
+    } else if (message instanceof PreVoteResponse) {
+      return 5;
+    } else if (message instanceof VoteRequest) {
+      return 6;
+    } else if (message instanceof VoteResponse) {
+      return 7;
+    } else if (message instanceof TriggerLeaderElectionRequest) {
+      return 8;
+    } else if (message instanceof InstallSnapshotRequest) {
+      return 9;
+    } else if (message instanceof InstallSnapshotResponse) {
+      return 10;
+    }
+    throw new IOException("no form for " + message);
+  }
+
+  /**
+   * A message.
+   *
+   * @throws IOException if it is of a form that is not known, or cut short
+   */
+  public static RaftMessage message(byte[] bytes) throws IOException {
+    return Values.read(bytes, MessageForms::read);
+  }
+
+  private static RaftMessage read(Values.Reader in) throws IOException {
+    int kind = in.small();
+    String group = in.text();
+    RaftEndpoint sender = Endpoint.named(in.text());
+    int term = in.small();
+    return switch (kind) {
+      case 1 ->
+          MODEL
+              .createAppendEntriesRequestBuilder()
+              .setGroupId(group)
+              .setSender(sender)
+              .setTerm(term)
+              .setPreviousLogTerm(in.small())
+              .setPreviousLogIndex(in.number())
+              .setCommitIndex(in.number())
+              .setLogEntries(in.each(LogForms::entry))
+              .setQuerySequenceNumber(in.number())
+              .setFlowControlSequenceNumber(in.number())
+              .build();
+      case 2 ->
+          MODEL
+              .createAppendEntriesSuccessResponseBuilder()
+              .setGroupId(group)
+              .setSender(sender)
+              .setTerm(term)
+              .setLastLogIndex(in.number())
+              .setQuerySequenceNumber(in.number())
+              .setFlowControlSequenceNumber(in.number())
+              .build();
+      case 3 ->
+          MODEL
+              .createAppendEntriesFailureResponseBuilder()
+              .setGroupId(group)
+              .setSender(sender)
+              .setTerm(term)
+              .setExpectedNextIndex(in.number())
+              .setQuerySequenceNumber(in.number())
+              .setFlowControlSequenceNumber(in.number())
+              .build();
+      case 4 ->
+          MODEL
+              .createPreVoteRequestBuilder()
+              .setGroupId(group)
+              .setSender(sender)
+              .setTerm(term)
+              .setLastLogTerm(in.small())
+              .setLastLogIndex(in.number())
+              .build();
+      case 5 ->
+          MODEL
+              .createPreVoteResponseBuilder()
+              .setGroupId(group)
+              .setSender(sender)
+              .setTerm(term)
+              .setGranted(in.flag())
+              .build();
+      case 6 ->
+          MODEL
+              .createVoteRequestBuilder()
+              .setGroupId(group)
+              .setSender(sender)
+              .setTerm(term)
+              .setLastLogTerm(in.small())
+              .setLastLogIndex(in.number())
+              .setSticky(in.flag())
+              .build();
+      case 7 ->
+          MODEL
+              .createVoteResponseBuilder()
+              .setGroupId(group)
+              .setSender(sender)
+              .setTerm(term)
+              .setGranted(in.flag())
+              .build();
+      case 8 ->
+          MODEL
+              .createTriggerLeaderElectionRequestBuilder()
+              .setGroupId(group)
+              .setSender(sender)
+              .setTerm(term)
+              .setLastLogTerm(in.small())
+              .setLastLogIndex(in.number())
+              .build();
+      case 9 ->
+          MODEL
+              .createInstallSnapshotRequestBuilder()
+              .setGroupId(group)
+              .setSender(sender)
+              .setTerm(term)
+              .setSenderLeader(in.flag())
+              .setSnapshotTerm(in.small())
+              .setSnapshotIndex(in.number())
+              .setTotalSnapshotChunkCount(in.small())
+              .setSnapshotChunk(in.each(LogForms::chunk).stream().findFirst().orElse(null))
+              .setSnapshottedMembers(LogForms.members(in))
+              .setGroupMembersView(LogForms.view(in))
+              .setQuerySequenceNumber(in.number())
+              .setFlowControlSequenceNumber(in.number())
+              .build();
+      case 10 ->
+          MODEL
+              .createInstallSnapshotResponseBuilder()
+              .setGroupId(group)
+              .setSender(sender)
+              .setTerm(term)
+              .setSnapshotIndex(in.number())
+              .setRequestedSnapshotChunkIndex(in.small())
+              .setQuerySequenceNumber(in.number())
+              .setFlowControlSequenceNumber(in.number())
+              .build();
+      default -> throw new IOException("a message of form " + kind + ", made by a later version");
+    };
+  }
+}
--- /dev/null
+++ b/cluster/src/main/java/shalepaddle/storage/Journal.java
@@ -0,0 +1,448 @@
+package shalepaddle.storage;
+
+import io.microraft.model.log.LogEntry;
+import io.microraft.model.log.RaftGroupMembersView;
+import io.microraft.model.log.SnapshotChunk;
+import io.microraft.model.log.SnapshotEntry;
+import io.microraft.model.persistence.RaftEndpointPersistentState;
+import io.microraft.model.persistence.RaftTermPersistentState;
+import io.microraft.persistence.RaftStore;
+import io.microraft.persistence.RestoredRaftState;
+import java.io.Closeable;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import shalepaddle.formats.LogForms;
+import shalepaddle.formats.Values;
+
+/**
+ * A member's term, vote, log and snapshot in one file that only grows, until it is written anew
+ * without what no longer counts.
+ *
+ * <p>The idea is that of a log-structured store (Rosenblum and Ousterhout, "The Design and
+ * Implementation of a Log-Structured File System", 1992): what holds is what the records say, read
+ * from the first to the last. A crash can only cut the end short, and nothing that was forced.
+ * Where more than half of the file, and {@value #ROOM} bytes, say nothing any more, what holds is
+ * written to the next file under another name, forced, and named; only then the old one goes.
+ *
+ * <p>After a write or a force has failed, nothing is known of what the disk holds (Rebello et al.,
+ * "Can Applications Recover from fsync Failures?", 2020). So the journal fails for good: nothing is
+ * written any more and each call says why; the member steps aside until it is started anew and has
+ * read what is really there.
+ *
+ * <p>Not thread-safe: it belongs to the member's one thread.
+ */
+public final class Journal implements RaftStore, Closeable {
+  /** Bytes that may be of no use before a file is written anew. */
+  static final long ROOM = 4 << 20;
+
+  private static final int FORMAT = 1;
+  private static final String PREFIX = "journal-";
+  private static final String NEXT = "next-";
+
+  private static final byte HEADER = 1;
+  private static final byte ENDPOINT = 2;
+  private static final byte MEMBERS = 3;
+  private static final byte TERM = 4;
+  private static final byte ENTRY = 5;
+  private static final byte CUT_FROM = 6;
+  private static final byte CUT_UNTIL = 7;
+  private static final byte CHUNK = 8;
+  private static final byte DROP_CHUNKS = 9;
+
+  private final Disk disk;
+  private final String group;
+  private final String name;
+  private final long room;
+
+  // What holds, by the records.
+  private RaftEndpointPersistentState endpoint;
+  private RaftGroupMembersView members;
+  private RaftTermPersistentState term;
+  private final SortedMap<Long, LogEntry> entries = new TreeMap<>();
+  private final SortedMap<Long, Map<Integer, SnapshotChunk>> chunks = new TreeMap<>();
+
+  private long generation;
+  private Disk.Appender file;
+  private long length;
+  private long lengthAtBegin;
+  private IOException failed;
+  private final List<String> told = new ArrayList<>();
+
+  /**
+   * Opens the journal of a member, which may be empty.
+   *
+   * @param group the group's name; a folder of another is turned down
+   * @param name the member's; likewise
+   * @throws DamagedException if what is there can't be believed, with file and remedy
+   */
+  public Journal(Disk disk, String group, String name) throws IOException {
+    this(disk, group, name, ROOM);
+  }
+
+  Journal(Disk disk, String group, String name, long room) throws IOException {
+    this.disk = disk;
+    this.group = group;
+    this.name = name;
+    this.room = room;
+    open();
+  }
+
+  /** The names of the group and of the member that a folder belongs to, null if it is empty. */
+  public static List<String> owner(Disk disk) throws IOException {
+    String newest = newest(disk);
+    if (newest == null) {
+      return null;
+    }
+    Records.Read read = Records.read(disk.place() + "/" + newest, disk.read(newest));
+    return header(disk, newest, read);
+  }
+
+  private static String newest(Disk disk) throws IOException {
+    return disk.names().stream()
+        .filter(file -> file.startsWith(PREFIX))
+        .max(String::compareTo)
+        .orElse(null);
+  }
+
+  private static List<String> header(Disk disk, String file, Records.Read read) throws IOException {
+    if (read.whole().isEmpty() || read.whole().get(0).kind() != HEADER) {
+      throw new DamagedException(
+          disk.place()
+              + "/"
+              + file
+              + " is no journal: take this folder away, and let the member join anew under a new"
+              + " name");
+    }
+    return Values.read(
+        read.whole().get(0).body(),
+        in -> {
+          int format = in.small();
+          if (format != FORMAT) {
+            throw new DamagedException(
+                "%s/%s is of format %d, and this version reads %d: start the version that wrote it"
+                    .formatted(disk.place(), file, format, FORMAT));
+          }
+          return List.of(in.text(), in.text());
+        });
+  }
+
+  private void open() throws IOException {
+    String newest = newest(disk);
+    for (String left : disk.names()) {
+      // Begun and never named, or no longer needed: a crash came in between.
+      if (!left.equals(newest)) {
+        disk.delete(left);
+      }
+    }
+    if (newest == null) {
+      begin(1);
+      return;
+    }
+    String place = disk.place() + "/" + newest;
+    Records.Read read = Records.read(place, disk.read(newest));
+    List<String> owner = header(disk, newest, read);
+    if (!owner.equals(List.of(group, name))) {
+      throw new DamagedException(
+          "%s belongs to member '%s' of group '%s', not to '%s' of '%s': name the folder of this member"
+              .formatted(place, owner.get(1), owner.get(0), name, group));
+    }
+    generation = Long.parseLong(newest.substring(PREFIX.length()), 16);
+    for (Records.Framed record : read.whole().subList(1, read.whole().size())) {
+      take(place, record);
+    }
+    check(place);
+    if (read.torn() > 0) {
+      told.add(place + ": " + read.torn() + " bytes of a write that was cut short are left out");
+    }
+    file = disk.append(newest, read.length());
+    // What was cut off must not come back, and what is believed now must stay.
+    file.force();
+    length = read.length();
+    lengthAtBegin = length;
+  }
+
+  private void take(String place, Records.Framed record) throws IOException {
+    byte[] body = record.body();
+    switch (record.kind()) {
+      case ENDPOINT -> {
+        boolean voting = Values.read(body, Values.Reader::flag);
+        endpoint = endpoint(voting);
+      }
+      case MEMBERS -> members = Values.read(body, LogForms::view);
+      case TERM -> term = Values.read(body, LogForms::term);
+      case ENTRY -> {
+        LogEntry entry = Values.read(body, LogForms::entry);
+        entries.put(entry.getIndex(), entry);
+      }
+      case CUT_FROM -> entries.tailMap(Values.read(body, Values.Reader::number)).clear();
+      case CUT_UNTIL -> entries.headMap(Values.read(body, Values.Reader::number) + 1).clear();
+      case CHUNK -> keep(Values.read(body, LogForms::chunk));
+      case DROP_CHUNKS -> chunks.remove(Values.read(body, Values.Reader::number));
+      default ->
+          throw new DamagedException(
+              "%s holds a record of kind %d, made by a later version: start that one"
+                  .formatted(place, record.kind()));
+    }
+  }
+
+  private RaftEndpointPersistentState endpoint(boolean voting) {
+    return LogForms.model()
+        .createRaftEndpointPersistentStateBuilder()
+        .setLocalEndpoint(new shalepaddle.formats.Endpoint(name))
+        .setVoting(voting)
+        .build();
+  }
+
+  private void keep(SnapshotChunk chunk) {
+    chunks
+        .computeIfAbsent(chunk.getIndex(), index -> new TreeMap<>())
+        .put(chunk.getSnapshotChunkIndex(), chunk);
+  }
+
+  /** The log goes on where the snapshot ends, with no entry missing. */
+  private void check(String place) throws IOException {
+    SnapshotEntry snapshot = snapshot();
+    long last = snapshot == null ? 0 : snapshot.getIndex();
+    if (!entries.isEmpty() && entries.firstKey() > last + 1) {
+      throw new DamagedException(
+          "%s lacks the entries %d to %d: take this folder away, and let the member join anew"
+              .formatted(place, last + 1, entries.firstKey() - 1));
+    }
+    if (!entries.isEmpty() && entries.lastKey() - entries.firstKey() + 1 != entries.size()) {
+      throw new DamagedException(
+          place + " lacks entries: take this folder away, and let the member join anew");
+    }
+  }
+
+  /** The newest snapshot that is whole, null for none. */
+  private SnapshotEntry snapshot() {
+    SnapshotEntry newest = null;
+    for (Map<Integer, SnapshotChunk> parts : chunks.values()) {
+      SnapshotChunk first = parts.values().iterator().next();
+      if (parts.size() == first.getSnapshotChunkCount()) {
+        newest =
+            LogForms.model()
+                .createSnapshotEntryBuilder()
+                .setIndex(first.getIndex())
+                .setTerm(first.getTerm())
+                .setSnapshotChunks(new ArrayList<>(parts.values()))
+                .setGroupMembersView(first.getGroupMembersView())
+                .build();
+      }
+    }
+    return newest;
+  }
+
+  /** What was read, to begin with; null where the member has never begun. */
+  public RestoredRaftState restored() {
+    if (endpoint == null || members == null) {
+      return null;
+    }
+    SnapshotEntry snapshot = snapshot();
+    long from = snapshot == null ? 0 : snapshot.getIndex();
+    RaftTermPersistentState known =
+        term != null
+            ? term
+            : LogForms.model()
+                .createRaftTermPersistentStateBuilder()
+                .setTerm(0)
+                .setVotedFor(null)
+                .build();
+    return new RestoredRaftState(
+        endpoint, members, known, snapshot, new ArrayList<>(entries.tailMap(from + 1).values()));
+  }
+
+  /** What an operator should hear of how it was found; empty if there is nothing. */
+  public List<String> told() {
+    return List.copyOf(told);
+  }
+
+  /** The last entry that is in it, of the snapshot or behind it. */
+  public long lastIndex() {
+    SnapshotEntry snapshot = snapshot();
+    long last = snapshot == null ? 0 : snapshot.getIndex();
+    return entries.isEmpty() ? last : Math.max(last, entries.lastKey());
+  }
+
+  /** The term that it knows, 0 for none. */
+  public int term() {
+    return term == null ? 0 : term.getTerm();
+  }
+
+  /** Bytes of its file. */
+  public long bytes() {
+    return length;
+  }
+
+  /** Why nothing can be held any more, null while it can. */
+  public IOException failed() {
+    return failed;
+  }
+
+  private static String number(long generation) {
+    return String.format(java.util.Locale.ROOT, "%016x", generation);
+  }
+
+  /** Writes all that holds to the file of this number, and goes on with that. */
+  private void begin(long next) throws IOException {
+    List<byte[]> all = new ArrayList<>();
+    all.add(
+        Records.frame(
+            HEADER, Values.write(this, (own, out) -> out.put(FORMAT).put(group).put(name))));
+    if (endpoint != null) {
+      all.add(Records.frame(ENDPOINT, Values.write(endpoint.isVoting(), (v, out) -> out.put(v))));
+    }
+    if (members != null) {
+      all.add(Records.frame(MEMBERS, Values.write(members, LogForms::view)));
+    }
+    if (term != null) {
+      all.add(Records.frame(TERM, Values.write(term, LogForms::term)));
+    }
+    for (Map<Integer, SnapshotChunk> parts : chunks.values()) {
+      for (SnapshotChunk chunk : parts.values()) {
+        all.add(Records.frame(CHUNK, Values.write(chunk, LogForms::chunk)));
+      }
+    }
+    for (LogEntry entry : entries.values()) {
+      all.add(Records.frame(ENTRY, Values.write(entry, LogForms::entry)));
+    }
+    String old = PREFIX + number(generation);
+    Disk.Appender before = file;
+    Disk.Appender written = disk.create(NEXT + number(next));
+    byte[] bytes = Records.join(all);
+    written.write(bytes);
+    written.force();
+    disk.rename(NEXT + number(next), PREFIX + number(next));
+    disk.forceNames();
+    file = written;
+    generation = next;
+    length = bytes.length;
+    lengthAtBegin = length;
+    if (before != null) {
+      before.close();
+      disk.delete(old);
+    }
+  }
+
+  private interface Step {
+    void run() throws IOException;
+  }
+
+  /** Nothing more is done after a failure. */
+  private void guarded(Step step) throws IOException {
+    if (failed != null) {
+      throw new IOException("the journal failed before: " + failed.getMessage(), failed);
+    }
+    try {
+      step.run();
+    } catch (IOException e) {
+      failed = e;
+      throw e;
+    }
+  }
+
+  private void append(int kind, byte[] body) throws IOException {
+    byte[] framed = Records.frame(kind, body);
+    file.write(framed);
+    length += framed.length;
+  }
+
+  @Override
+  public void persistAndFlushLocalEndpoint(RaftEndpointPersistentState state) throws IOException {
+    guarded(
+        () -> {
+          endpoint = endpoint(state.isVoting());
+          append(ENDPOINT, Values.write(state.isVoting(), (voting, out) -> out.put(voting)));
+          file.force();
+        });
+  }
+
+  @Override
+  public void persistAndFlushInitialGroupMembers(RaftGroupMembersView view) throws IOException {
+    guarded(
+        () -> {
+          members = view;
+          append(MEMBERS, Values.write(view, LogForms::view));
+          file.force();
+        });
+  }
+
+  @Override
+  public void persistAndFlushTerm(RaftTermPersistentState state) throws IOException {
+    guarded(
+        () -> {
+          term = state;
+          append(TERM, Values.write(state, LogForms::term));
+          file.force();
+        });
+  }
+
+  @Override
+  public void persistLogEntries(List<LogEntry> more) throws IOException {
+    guarded(
+        () -> {
+          for (LogEntry entry : more) {
+            entries.put(entry.getIndex(), entry);
+            append(ENTRY, Values.write(entry, LogForms::entry));
+          }
+        });
+  }
+
+  @Override
+  public void persistSnapshotChunk(SnapshotChunk chunk) throws IOException {
+    guarded(
+        () -> {
+          keep(chunk);
+          append(CHUNK, Values.write(chunk, LogForms::chunk));
+        });
+  }
+
+  @Override
+  public void truncateLogEntriesFrom(long index) throws IOException {
+    guarded(
+        () -> {
+          entries.tailMap(index).clear();
+          append(CUT_FROM, Values.write(index, (value, out) -> out.put(value)));
+        });
+  }
+
+  @Override
+  public void truncateLogEntriesUntil(long index) throws IOException {
+    guarded(
+        () -> {
+          entries.headMap(index + 1).clear();
+          append(CUT_UNTIL, Values.write(index, (value, out) -> out.put(value)));
+        });
+  }
+
+  @Override
+  public void deleteSnapshotChunks(long index, int count) throws IOException {
+    guarded(
+        () -> {
+          chunks.remove(index);
+          append(DROP_CHUNKS, Values.write(index, (value, out) -> out.put(value)));
+        });
+  }
+
+  @Override
+  public void flush() throws IOException {
+    guarded(
+        () -> {
+          file.force();
+          if (length > room && length > 2 * lengthAtBegin) {
+            begin(generation + 1);
+          }
+        });
+  }
+
+  /** Writes nothing more; what was not forced may be lost. */
+  @Override
+  public void close() throws IOException {
+    file.close();
+    disk.close();
+  }
+}
--- a/daemon/src/test/java/shalepaddle/daemon/ArchitectureTest.java
+++ b/daemon/src/test/java/shalepaddle/daemon/ArchitectureTest.java
@@ -23,7 +23,11 @@
 
   /** The packages that decide, and what they decide on. */
   private static final String[] DECISIONS = {
-    "shalepaddle.model..", "shalepaddle.policy..", "shalepaddle.overload..", "shalepaddle.joining.."
+    "shalepaddle.model..",
+    "shalepaddle.policy..",
+    "shalepaddle.overload..",
+    "shalepaddle.joining..",
+    "shalepaddle.promises.."
   };
 
   private static final String[] DECISIONS_AND_JAVA =
