A group agrees on what is held, in virtual time among machines lost with their disks

Need: the agreed log on which promises, and later a rolling change, stand.

GroupDay plays a group by a seed: callers ask and read while machines stop, pause and lose their disks (replaced under a new name), links lose, double, delay and are cut one way; then all must be held, read and replayed alike.

--- /dev/null
+++ b/cluster/src/main/java/shalepaddle/agreement/Agreement.java
@@ -0,0 +1,382 @@
+package shalepaddle.agreement;
+
+import io.microraft.MembershipChangeMode;
+import io.microraft.QueryPolicy;
+import io.microraft.RaftEndpoint;
+import io.microraft.RaftNode;
+import io.microraft.RaftNodeStatus;
+import io.microraft.exception.CannotReplicateException;
+import io.microraft.exception.IndeterminateStateException;
+import io.microraft.exception.NotLeaderException;
+import io.microraft.model.message.AppendEntriesRequest;
+import io.microraft.model.message.AppendEntriesSuccessResponse;
+import io.microraft.model.message.InstallSnapshotRequest;
+import io.microraft.model.message.PreVoteRequest;
+import io.microraft.model.message.PreVoteResponse;
+import io.microraft.model.message.RaftMessage;
+import io.microraft.model.message.VoteRequest;
+import io.microraft.persistence.RestoredRaftState;
+import io.microraft.report.RaftNodeReport;
+import io.microraft.report.RaftTerm;
+import io.microraft.transport.Transport;
+import java.io.IOException;
+import java.util.Collection;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.CompletionStage;
+import shalepaddle.agreement.NotHeldException.Known;
+import shalepaddle.formats.Endpoint;
+import shalepaddle.formats.LogForms;
+import shalepaddle.formats.PromiseForms;
+import shalepaddle.promises.Answer;
+import shalepaddle.promises.Promises;
+import shalepaddle.promises.Proposal;
+import shalepaddle.storage.Journal;
+
+/**
+ * One member's part in the group: it proposes, votes, and applies what a majority holds.
+ *
+ * <p>Raft (Ongaro and Ousterhout, "In Search of an Understandable Consensus Algorithm", 2014) with
+ * pre-votes and sticky leaders, so that a member that comes back from a cut link does not unseat a
+ * leader that works (Ongaro's thesis, 9.6), by MicroRaft. Here is only what joins it to the
+ * journal, the links and the promises, and says in this project's words what became of a proposal.
+ *
+ * <p>All methods may be called from any thread; futures complete on the member's.
+ */
+public final class Agreement implements AutoCloseable {
+  /** Is told of what happens, on the member's thread. */
+  public interface Listener {
+    /** An entry of the log is held, and applied here; in the order of the log. */
+    void applied(long index, Proposal proposal, Answer answer);
+
+    /** A snapshot took the place of all that was applied. */
+    void restored(Promises.Image image);
+
+    /** The group stands otherwise than before. */
+    void changed(Standing standing);
+  }
+
+  /** Carries messages to other members; may lose, delay, double and reorder them. */
+  @FunctionalInterface
+  public interface Links {
+    void send(String member, RaftMessage message);
+  }
+
+  /** No word of a leader for so long, and none asked for a vote: the library is stuck. */
+  private static final long STUCK_NANOS = 3 * Pace.lostMillis() * 1_000_000;
+
+  private final String group;
+  private final String name;
+  private final Collection<RaftEndpoint> first = new LinkedHashSet<>();
+  private final int snapshotEvery;
+  private final Journal journal;
+  private final Turns turns;
+  private final Links links;
+  private final Random random;
+  private final Listener listener;
+
+  // Changed on the member's thread alone.
+  private PromiseMachine machine;
+  private volatile RaftNode node;
+  private volatile Standing standing;
+  private volatile long heardAt;
+  private volatile long askedAt;
+  private volatile Seam seam;
+
+  private boolean closed;
+
+  /**
+   * A member that has not begun.
+   *
+   * @param name its own, one of the members or, where it is to join, another
+   * @param members the names of those with whom the group began
+   * @param snapshotEvery entries between two snapshots
+   * @param seed for the times of elections
+   */
+  public Agreement(
+      String group,
+      String name,
+      Collection<String> members,
+      int snapshotEvery,
+      Journal journal,
+      Turns turns,
+      Links links,
+      long seed,
+      Listener listener) {
+    this.group = group;
+    this.name = name;
+    this.snapshotEvery = snapshotEvery;
+    this.journal = journal;
+    this.turns = turns;
+    this.links = links;
+    this.random = new Random(seed);
+    this.listener = listener;
+    members.forEach(member -> first.add(new Endpoint(member)));
+    standing = new Standing(name, "FOLLOWER", null, 0, List.of(), List.of(), 0, 0, null);
+    node = build();
+  }
+
+  private RaftNode build() {
+    machine = new PromiseMachine(machine == null ? 0 : machine.promises().index(), listener);
+    heardAt = turns.nanos();
+    askedAt = heardAt;
+    RaftNode.RaftNodeBuilder builder =
+        RaftNode.newBuilder()
+            .setGroupId(group)
+            .setConfig(Pace.config(snapshotEvery))
+            .setExecutor(Pace.executor(turns))
+            .setClock(Pace.clock(turns::nanos))
+            .setRandom(random)
+            .setTransport(transport())
+            .setStateMachine(machine)
+            .setStore(journal)
+            .setModelFactory(LogForms.model())
+            .setRaftNodeReportListener(this::reported);
+    RestoredRaftState restored = journal.restored();
+    seam =
+        new Seam(
+            restored == null || restored.getSnapshotEntry() == null
+                ? 0
+                : restored.getSnapshotEntry().getIndex());
+    if (restored == null) {
+      builder.setLocalEndpoint(new Endpoint(name)).setInitialGroupMembers(first);
+    } else {
+      builder.setRestoredState(restored);
+    }
+    return builder.build();
+  }
+
+  private Transport transport() {
+    return new Transport() {
+      @Override
+      public void send(RaftEndpoint target, RaftMessage message) {
+        if (message instanceof PreVoteRequest || message instanceof VoteRequest) {
+          askedAt = turns.nanos();
+        }
+        links.send(
+            ((Endpoint) target).name(),
+            message instanceof AppendEntriesSuccessResponse response
+                ? seam.answer((Endpoint) target, response)
+                : message);
+      }
+
+      @Override
+      public boolean isReachable(RaftEndpoint endpoint) {
+        // Only what comes back tells that.
+        return true;
+      }
+    };
+  }
+
+  /** Begins to take part. */
+  public CompletionStage<?> start() {
+    turns.runIn(STUCK_NANOS, this::watch);
+    return node.start();
+  }
+
+  /**
+   * Begins anew, from what is on the disk, where the library stands still: a follower that hears of
+   * a leader while its pre-vote is under way never asks for votes again, once that leader is lost,
+   * until another member has made a new term (MicroRaft 0.7: the state of the pre-vote is not
+   * cleared). Guards against a group that is led by nobody though a majority is there. Harms
+   * nothing: it is what a restart of the process does.
+   */
+  private void watch() {
+    if (closed) {
+      return;
+    }
+    long now = turns.nanos();
+    boolean votes = standing.role().equals("FOLLOWER") && standing.steppedAside() == null;
+    if (votes && now - heardAt > STUCK_NANOS && now - askedAt > STUCK_NANOS) {
+      node.terminate();
+      node = build();
+      node.start();
+    }
+    turns.runIn(STUCK_NANOS / 3, this::watch);
+  }
+
+  /** A message has come from another member. */
+  public void handle(RaftMessage message) {
+    if (message instanceof AppendEntriesRequest || message instanceof InstallSnapshotRequest) {
+      heardAt = turns.nanos();
+    }
+    if (standing.steppedAside() != null) {
+      return;
+    }
+    node.handle(message instanceof AppendEntriesRequest request ? seam.ask(request) : message);
+    if (message instanceof PreVoteResponse response && !response.isGranted()) {
+      turns.run(() -> takeTerm(response));
+    }
+  }
+
+  /**
+   * Takes a later term that was told with a no to a pre-vote, by way of a vote that is asked for
+   * with an empty log. Guards against a standstill of MicroRaft 0.7, which does not look at that
+   * term: where one of two members has the longer log and the other the later term, each turns down
+   * the other's pre-vote for good. A term that is one later may be the echo of what was asked.
+   */
+  private void takeTerm(PreVoteResponse response) {
+    RaftTerm own = node.getTerm();
+    if (own.getLeaderEndpoint() == null && response.getTerm() > own.getTerm() + 1) {
+      node.handle(
+          LogForms.model()
+              .createVoteRequestBuilder()
+              .setGroupId(group)
+              .setSender(response.getSender())
+              .setTerm(response.getTerm())
+              .setLastLogTerm(0)
+              .setLastLogIndex(0)
+              .setSticky(false)
+              .build());
+    }
+  }
+
+  private void reported(RaftNodeReport report) {
+    if (report.getStatus() != node.getStatus()) {
+      // Of a part that was left behind.
+      return;
+    }
+    Standing before = standing;
+    IOException failed = journal.failed();
+    boolean over = RaftNodeStatus.isTerminal(report.getStatus());
+    standing =
+        new Standing(
+            name,
+            report.getRole().name(),
+            report.getTerm().getLeaderEndpoint() == null
+                ? null
+                : ((Endpoint) report.getTerm().getLeaderEndpoint()).name(),
+            report.getTerm().getTerm(),
+            LogForms.names(report.getCommittedMembers().getMembers()),
+            LogForms.names(report.getCommittedMembers().getVotingMembers()),
+            report.getLog().getCommitIndex(),
+            report.getLog().getLastLogOrSnapshotIndex(),
+            failed != null ? failed.getMessage() : over ? "it has ended" : null);
+    if (!standing.equals(before)) {
+      listener.changed(standing);
+    }
+  }
+
+  /** How the group stands, as it was last reported. */
+  public Standing standing() {
+    return standing;
+  }
+
+  /**
+   * Asks the group to hold this, where this member leads.
+   *
+   * @return the answer, once a majority has it on disk; else fails with {@link NotHeldException}
+   */
+  public CompletionStage<Answer> propose(Proposal proposal) {
+    CompletableFuture<Answer> answered = new CompletableFuture<>();
+    turns.run(
+        () -> {
+          Answer before = machine.promises().answered(proposal.id());
+          if (before != null) {
+            // Asked again, and applied, so it is held: no second entry.
+            answered.complete(before);
+            return;
+          }
+          node.<Answer>replicate(PromiseForms.proposal(proposal))
+              .whenComplete(
+                  (ordered, cause) -> {
+                    if (cause == null) {
+                      answered.complete(ordered.getResult());
+                    } else {
+                      answered.completeExceptionally(notHeld(cause));
+                    }
+                  });
+        });
+    return answered;
+  }
+
+  private NotHeldException notHeld(Throwable cause) {
+    Throwable root = cause instanceof CompletionException ? cause.getCause() : cause;
+    if (root instanceof NotLeaderException e) {
+      String leader = e.getLeader() == null ? null : ((Endpoint) e.getLeader()).name();
+      return new NotHeldException(Known.NEVER, name + " does not lead", leader);
+    }
+    if (root instanceof CannotReplicateException) {
+      return new NotHeldException(Known.NEVER, "too much waits for the majority", null);
+    }
+    if (root instanceof IndeterminateStateException) {
+      return new NotHeldException(Known.MAYBE, name + " lost its lead meanwhile", null);
+    }
+    return new NotHeldException(Known.MAYBE, String.valueOf(root.getMessage()), null);
+  }
+
+  /**
+   * What is held at this moment: whoever was answered before this call finds it here.
+   *
+   * @return the image, from the leader alone, which asks a majority whether it still leads
+   */
+  public CompletionStage<Promises.Image> read() {
+    CompletableFuture<Promises.Image> answered = new CompletableFuture<>();
+    turns.run(
+        () ->
+            node.query(
+                    LogForms.NOTHING, QueryPolicy.LINEARIZABLE, Optional.empty(), Optional.empty())
+                .whenComplete(
+                    (ordered, cause) -> {
+                      if (cause == null) {
+                        answered.complete(machine.promises().image());
+                      } else {
+                        answered.completeExceptionally(notHeld(cause));
+                      }
+                    }));
+    return answered;
+  }
+
+  /** How a member comes and goes. One change at a time. */
+  public enum Change {
+    /** It hears all, and has no vote. */
+    LEARN,
+    /** It votes. */
+    VOTE,
+    /** It leaves for good; its name is not used again. */
+    LEAVE
+  }
+
+  /** Changes the group, where this member leads. */
+  public CompletionStage<?> change(String member, Change change) {
+    CompletableFuture<Object> answered = new CompletableFuture<>();
+    MembershipChangeMode mode =
+        switch (change) {
+          case LEARN -> MembershipChangeMode.ADD_LEARNER;
+          case VOTE -> MembershipChangeMode.ADD_OR_PROMOTE_TO_FOLLOWER;
+          case LEAVE -> MembershipChangeMode.REMOVE_MEMBER;
+        };
+    turns.run(
+        () ->
+            node.changeMembership(
+                    new Endpoint(member), mode, node.getCommittedMembers().getLogIndex())
+                .whenComplete(
+                    (ordered, cause) -> {
+                      if (cause == null) {
+                        answered.complete(ordered);
+                      } else {
+                        answered.completeExceptionally(notHeld(cause));
+                      }
+                    }));
+    return answered;
+  }
+
+  /** The members with whom the group began: a new one has to be told. */
+  public List<String> began() {
+    return LogForms.names(node.getInitialMembers().getMembers());
+  }
+
+  /** Takes no part any more. The journal is left to whoever opened it. */
+  @Override
+  public void close() {
+    turns.run(
+        () -> {
+          closed = true;
+          node.terminate();
+        });
+  }
+}
--- /dev/null
+++ b/cluster/src/main/java/shalepaddle/agreement/NotHeldException.java
@@ -0,0 +1,34 @@
+package shalepaddle.agreement;
+
+/** A proposal is not held by the group, or nobody knows. */
+public final class NotHeldException extends Exception {
+  private static final long serialVersionUID = 1;
+
+  /** What is known of it. */
+  public enum Known {
+    /** It is in nobody's log, and never will be. */
+    NEVER,
+    /** It may be held, now or later: to be asked again under the same id. */
+    MAYBE
+  }
+
+  private final Known known;
+  private final String leader;
+
+  /** With a reason for people, and who may know better, null for nobody. */
+  public NotHeldException(Known known, String why, String leader) {
+    super(why);
+    this.known = known;
+    this.leader = leader;
+  }
+
+  /** What is known of it. */
+  public Known known() {
+    return known;
+  }
+
+  /** Who leads instead, null if that is not known. */
+  public String leader() {
+    return leader;
+  }
+}
--- /dev/null
+++ b/cluster/src/main/java/shalepaddle/agreement/PromiseMachine.java
@@ -0,0 +1,82 @@
+package shalepaddle.agreement;
+
+import io.microraft.statemachine.StateMachine;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.Arrays;
+import java.util.List;
+import java.util.function.Consumer;
+import shalepaddle.formats.LogForms;
+import shalepaddle.formats.PromiseForms;
+import shalepaddle.promises.Answer;
+import shalepaddle.promises.Promises;
+import shalepaddle.promises.Proposal;
+
+/** Applies the log to the promises. Runs on the member's thread. */
+final class PromiseMachine implements StateMachine {
+  /** Bytes of a part of a snapshot: one message each. */
+  private static final int PART = 256 << 10;
+
+  private final Promises promises = new Promises();
+  private final Agreement.Listener listener;
+
+  /** Entries up to here were told of before. */
+  private final long told;
+
+  PromiseMachine(long told, Agreement.Listener listener) {
+    this.told = told;
+    this.listener = listener;
+  }
+
+  Promises promises() {
+    return promises;
+  }
+
+  /** Returns the {@link Answer}; null for an entry that asks for nothing. */
+  @Override
+  public Object runOperation(long index, Object operation) {
+    byte[] bytes = (byte[]) operation;
+    if (bytes.length == 0) {
+      return null;
+    }
+    Proposal proposal;
+    try {
+      proposal = PromiseForms.proposal(bytes);
+    } catch (IOException e) {
+      // The same bytes on every member: all pass it over.
+      return new Answer(Answer.Kind.NOT_KNOWN, index);
+    }
+    Answer answer = promises.apply(index, proposal);
+    if (index > told) {
+      listener.applied(index, proposal, answer);
+    }
+    return answer;
+  }
+
+  @Override
+  public void takeSnapshot(long index, Consumer<Object> parts) {
+    byte[] image = PromiseForms.image(promises.image());
+    for (int from = 0; from == 0 || from < image.length; from += PART) {
+      parts.accept(Arrays.copyOfRange(image, from, Math.min(image.length, from + PART)));
+    }
+  }
+
+  @Override
+  public void installSnapshot(long index, List<Object> parts) {
+    ByteArrayOutputStream image = new ByteArrayOutputStream();
+    parts.forEach(part -> image.writeBytes((byte[]) part));
+    try {
+      promises.restore(PromiseForms.image(image.toByteArray()));
+    } catch (IOException e) {
+      throw new IllegalStateException("the snapshot can't be read: " + e.getMessage(), e);
+    }
+    if (index > told) {
+      listener.restored(promises.image());
+    }
+  }
+
+  @Override
+  public Object getNewTermOperation() {
+    return LogForms.NOTHING;
+  }
+}
--- /dev/null
+++ b/cluster/src/main/java/shalepaddle/agreement/Standing.java
@@ -0,0 +1,32 @@
+package shalepaddle.agreement;
+
+import java.util.List;
+
+/**
+ * How a member sees its group, at one moment.
+ *
+ * @param name its own name
+ * @param role what it does: {@code LEADER}, {@code FOLLOWER}, {@code CANDIDATE}, {@code LEARNER}
+ * @param leader who leads, null if that is not known
+ * @param term the number of the present leader's reign; grows with each, and never twice the same
+ * @param members all of the group, as a majority holds it, in order
+ * @param voting those that vote, in order
+ * @param committed the last entry that is held
+ * @param last the last entry that is here
+ * @param steppedAside why it takes no part, null while it does
+ */
+public record Standing(
+    String name,
+    String role,
+    String leader,
+    int term,
+    List<String> members,
+    List<String> voting,
+    long committed,
+    long last,
+    String steppedAside) {
+  /** Whether it leads. */
+  public boolean leads() {
+    return name.equals(leader) && steppedAside == null;
+  }
+}
--- /dev/null
+++ b/cluster/src/main/java/shalepaddle/agreement/Turns.java
@@ -0,0 +1,13 @@
+package shalepaddle.agreement;
+
+/** The one thread of a member, whatever that is. What is handed in runs in order, never at once. */
+public interface Turns {
+  /** Runs a task after those before it. From any thread. */
+  void run(Runnable task);
+
+  /** Runs a task in so many nanoseconds. From any thread. */
+  void runIn(long nanos, Runnable task);
+
+  /** Monotonic nanoseconds. From any thread. */
+  long nanos();
+}
--- /dev/null
+++ b/cluster/src/test/java/shalepaddle/agreement/AgreementTest.java
@@ -0,0 +1,44 @@
+package shalepaddle.agreement;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import shalepaddle.promises.Answer;
+import shalepaddle.promises.Entry;
+import shalepaddle.promises.Proposal;
+
+/** A group in virtual time. */
+class AgreementTest {
+  private static Proposal say(String id, String member, boolean out) {
+    return new Proposal(id, 1000, new Entry.Say(member, out));
+  }
+
+  @Test
+  void whatIsAnsweredIsHeldByAllAndOutlivesTheLeadersDisk() throws Exception {
+    VirtualGroup group = new VirtualGroup(1).begin(3);
+    group.pass(3000);
+    VirtualGroup.Machine leader = group.leader();
+    assertNotNull(leader);
+    List<Answer> answers = new ArrayList<>();
+    leader.agreement.propose(say("p1", "s-1", true)).thenAccept(answers::add);
+    group.pass(50);
+    assertEquals(1, answers.size(), "held within milliseconds");
+    assertEquals(Answer.Kind.HELD, answers.get(0).kind());
+    leader.crash();
+    group.machines.remove(leader.name);
+    group.pass(3000);
+    VirtualGroup.Machine next = group.leader();
+    assertNotNull(next, "nobody leads");
+    List<Object> read = new ArrayList<>();
+    next.agreement.read().thenAccept(image -> read.add(image.out()));
+    next.agreement.propose(say("p1", "s-1", true)).thenAccept(answers::add);
+    group.pass(100);
+    assertEquals(List.of(List.of("s-1")), read);
+    assertEquals(answers.get(0), answers.get(1), "asked again: the same answer, no second entry");
+    assertTrue(next.agreement.standing().term() > 1);
+  }
+}
--- /dev/null
+++ b/cluster/src/test/java/shalepaddle/agreement/GroupDay.java
@@ -0,0 +1,429 @@
+package shalepaddle.agreement;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.concurrent.CompletionException;
+import shalepaddle.promises.Answer;
+import shalepaddle.promises.Entry;
+import shalepaddle.promises.Promises;
+import shalepaddle.promises.Proposal;
+import shalepaddle.storage.Disk;
+import shalepaddle.storage.MemoryDisk;
+
+/**
+ * A day of a group by a seed: callers who ask for promises and read them, while machines stop,
+ * pause and lose their disks, and links lose, delay and are cut, one way or both. Ends with all
+ * healed and tells what was broken.
+ */
+final class GroupDay {
+  /** How the day is broken on purpose. */
+  enum Variant {
+    /** It is not. */
+    SOUND,
+    /** A force returns before anything is on the disk. */
+    NO_FORCE,
+    /** A machine that lost its disk comes back under its old name. */
+    OLD_NAME,
+    /** A caller hears yes as soon as the leader has taken its proposal. */
+    EARLY_YES,
+    /** A read is answered from what the asked machine has. */
+    STALE_READ
+  }
+
+  private static final long DAY_MILLIS = 20_000;
+  private static final long PATIENCE_MILLIS = 700;
+  private static final int CALLERS = 4;
+
+  private final VirtualGroup group;
+  private final SplittableRandom random;
+  private final Variant variant;
+  private final int size;
+  private final List<String> broken = new ArrayList<>();
+  private final Map<String, Proposal> asked = new HashMap<>();
+  private final Map<String, Long> yes = new HashMap<>();
+  private long highestYes;
+  private int reads;
+  private int machinesEver;
+  private boolean replacing;
+  private boolean over;
+
+  GroupDay(long seed, Variant variant) {
+    this.variant = variant;
+    random = new SplittableRandom(seed);
+    size = random.nextBoolean() ? 3 : 5;
+    group = new VirtualGroup(random.nextLong());
+    group.snapshotEvery = random.nextBoolean() ? 20 : 100;
+    if (variant == Variant.NO_FORCE) {
+      group.wrap = Unforced::new;
+    }
+  }
+
+  /** What came of it. */
+  record Report(int yes, int reads, int terms, List<String> broken) {}
+
+  Report play() throws IOException {
+    group.begin(size);
+    machinesEver = size;
+    for (int i = 0; i < CALLERS; i++) {
+      new Caller(i).next();
+    }
+    trouble();
+    group.pass(DAY_MILLIS);
+    over = true;
+    group.heal();
+    for (VirtualGroup.Machine machine : group.machines.values()) {
+      machine.heldUntil = 0;
+      if (!machine.up()) {
+        machine.start();
+      }
+    }
+    group.pass(8000);
+    end();
+    return new Report(yes.size(), reads, group.leaders.size(), broken);
+  }
+
+  private void end() {
+    VirtualGroup.Machine leader = group.leader();
+    if (leader == null) {
+      broken.add("nobody leads at the end: " + standings());
+      return;
+    }
+    List<Promises.Image> last = new ArrayList<>();
+    List<Throwable> why = new ArrayList<>();
+    leader
+        .agreement
+        .read()
+        .whenComplete(
+            (image, cause) -> {
+              if (cause == null) {
+                last.add(image);
+              } else {
+                why.add(cause);
+              }
+            });
+    group.pass(1000);
+    if (last.isEmpty()) {
+      broken.add("nothing can be read at the end: " + why + standings());
+      return;
+    }
+    Promises replayed = new Promises();
+    new TreeMap<>(group.log).forEach((index, id) -> replayed.apply(index, asked.get(id)));
+    yes.forEach(
+        (id, index) -> {
+          if (!id.equals(group.log.get(index))) {
+            broken.add(
+                id + " was answered yes at " + index + ", where there is " + group.log.get(index));
+          }
+        });
+    if (!replayed.out().equals(last.get(0).out())) {
+      broken.add("held is " + last.get(0).out() + ", the log says " + replayed.out());
+    }
+  }
+
+  private List<Standing> standings() {
+    return group.machines.values().stream().map(machine -> machine.agreement.standing()).toList();
+  }
+
+  /** Now and then something breaks, or is mended. */
+  private void trouble() {
+    group.at(
+        group.now + (100 + random.nextLong(700)) * VirtualGroup.MILLI,
+        () -> {
+          if (over) {
+            return;
+          }
+          try {
+            somethingHappens();
+          } catch (IOException e) {
+            broken.add("a machine can't start: " + e.getMessage());
+          }
+          trouble();
+        });
+  }
+
+  private VirtualGroup.Machine any() {
+    List<VirtualGroup.Machine> all = List.copyOf(group.machines.values());
+    return all.get(random.nextInt(all.size()));
+  }
+
+  private void somethingHappens() throws IOException {
+    VirtualGroup.Machine one = any();
+    VirtualGroup.Machine other = any();
+    switch (random.nextInt(9)) {
+      case 0, 1 -> {
+        if (one.up()) {
+          one.crash();
+        } else {
+          one.start();
+        }
+      }
+      case 2 -> group.cut(one.name, other.name, true);
+      case 3 -> {
+        for (String name : group.machines.keySet()) {
+          group.cut(one.name, name, true);
+          group.cut(name, one.name, random.nextBoolean());
+        }
+      }
+      case 4 -> group.loss = random.nextDouble() * 0.3;
+      case 5 -> one.heldUntil = group.now + random.nextLong(5000) * VirtualGroup.MILLI;
+      case 6 -> loseDisk(one);
+      default -> {
+        group.heal();
+        for (VirtualGroup.Machine machine : group.machines.values()) {
+          if (!machine.up()) {
+            machine.start();
+          }
+        }
+      }
+    }
+  }
+
+  /** A machine is lost with its disk, and another takes its place: one at a time. */
+  private void loseDisk(VirtualGroup.Machine lost) throws IOException {
+    if (replacing) {
+      return;
+    }
+    if (lost.up()) {
+      lost.crash();
+    }
+    if (variant == Variant.OLD_NAME) {
+      lost.disk = new MemoryDisk();
+      lost.start();
+      return;
+    }
+    replacing = true;
+    group.machines.remove(lost.name);
+    String name = "m" + machinesEver++;
+    VirtualGroup.Machine fresh = group.add(name, lost.first);
+    change(
+        fresh.name,
+        Agreement.Change.LEARN,
+        () ->
+            change(
+                fresh.name,
+                Agreement.Change.VOTE,
+                () -> change(lost.name, Agreement.Change.LEAVE, () -> replacing = false)));
+  }
+
+  /** Asks whoever leads until the group has changed. */
+  private void change(String member, Agreement.Change change, Runnable then) {
+    VirtualGroup.Machine leader = group.leader();
+    boolean done = leader != null && stands(leader, member, change);
+    if (done) {
+      then.run();
+      return;
+    }
+    if (leader != null) {
+      leader.agreement.change(member, change);
+    }
+    group.at(group.now + 300 * VirtualGroup.MILLI, () -> change(member, change, then));
+  }
+
+  private static boolean stands(
+      VirtualGroup.Machine leader, String member, Agreement.Change change) {
+    Standing standing = leader.agreement.standing();
+    return switch (change) {
+      case LEARN -> standing.members().contains(member);
+      case VOTE -> standing.voting().contains(member);
+      case LEAVE -> !standing.members().contains(member);
+    };
+  }
+
+  /** Asks for one thing after the other, each until it hears yes. */
+  private final class Caller {
+    private final int number;
+    private int count;
+
+    Caller(int number) {
+      this.number = number;
+    }
+
+    void next() {
+      if (over) {
+        return;
+      }
+      if (random.nextInt(4) == 0) {
+        read();
+        return;
+      }
+      String id = "c" + number + "-" + count++;
+      String server = "s-" + number + "-" + count % 5;
+      Proposal proposal =
+          new Proposal(id, group.now / VirtualGroup.MILLI, new Entry.Say(server, count % 3 != 0));
+      asked.put(id, proposal);
+      ask(proposal);
+    }
+
+    private void later() {
+      group.at(group.now + random.nextLong(60) * VirtualGroup.MILLI, this::next);
+    }
+
+    private VirtualGroup.Machine somebody() {
+      VirtualGroup.Machine leader = group.leader();
+      VirtualGroup.Machine one = leader == null || random.nextInt(4) == 0 ? any() : leader;
+      return one.up() ? one : null;
+    }
+
+    private void ask(Proposal proposal) {
+      if (over) {
+        return;
+      }
+      boolean[] settled = {false};
+      VirtualGroup.Machine machine = somebody();
+      if (machine != null) {
+        machine
+            .agreement
+            .propose(proposal)
+            .whenComplete(
+                (answer, cause) -> {
+                  if (settled[0]) {
+                    return;
+                  }
+                  settled[0] = true;
+                  if (cause == null) {
+                    answered(proposal, answer);
+                    later();
+                  } else {
+                    if (!(cause instanceof NotHeldException)
+                        && !(cause instanceof CompletionException)) {
+                      broken.add("an answer that is none: " + cause);
+                    }
+                    group.at(group.now + 50 * VirtualGroup.MILLI, () -> ask(proposal));
+                  }
+                });
+        if (variant == Variant.EARLY_YES && machine.agreement.standing().leads()) {
+          group.at(
+              group.now,
+              () -> {
+                if (!settled[0] && machine.up()) {
+                  settled[0] = true;
+                  long index = machine.agreement.standing().last() + 1;
+                  answered(proposal, new Answer(Answer.Kind.HELD, index));
+                  later();
+                }
+              });
+        }
+      }
+      group.at(
+          group.now + PATIENCE_MILLIS * VirtualGroup.MILLI,
+          () -> {
+            if (!settled[0]) {
+              settled[0] = true;
+              ask(proposal);
+            }
+          });
+    }
+
+    private void answered(Proposal proposal, Answer answer) {
+      Long before = yes.put(proposal.id(), answer.index());
+      if (before != null && before != answer.index()) {
+        broken.add(proposal.id() + " was answered " + before + " and " + answer.index());
+      }
+      highestYes = Math.max(highestYes, answer.index());
+    }
+
+    private void read() {
+      VirtualGroup.Machine machine = somebody();
+      if (machine == null) {
+        later();
+        return;
+      }
+      long atLeast = highestYes;
+      if (variant == Variant.STALE_READ) {
+        check(machine.appliedTo, atLeast);
+      } else {
+        machine.agreement.read().thenAccept(image -> check(image.index(), atLeast));
+      }
+      later();
+    }
+
+    /** Whoever was answered before the read began is found by it. */
+    private void check(long index, long atLeast) {
+      reads++;
+      if (index < atLeast) {
+        broken.add("read up to " + index + ", where " + atLeast + " was answered before");
+      }
+    }
+  }
+
+  /** A disk whose force does nothing. */
+  private record Unforced(MemoryDisk disk) implements Disk {
+    @Override
+    public List<String> names() {
+      return disk.names();
+    }
+
+    @Override
+    public byte[] read(String name) {
+      return disk.read(name);
+    }
+
+    @Override
+    public Appender create(String name) throws IOException {
+      Appender made = disk.create(name);
+      // The head is there: a folder that is empty is a fresh one, and found out.
+      return new Lazy(made, true);
+    }
+
+    @Override
+    public Appender append(String name, long after) {
+      return new Lazy(disk.append(name, after), false);
+    }
+
+    @Override
+    public void rename(String from, String to) {
+      disk.rename(from, to);
+    }
+
+    @Override
+    public void delete(String name) {
+      disk.delete(name);
+    }
+
+    @Override
+    public void forceNames() {
+      disk.forceNames();
+    }
+
+    @Override
+    public String place() {
+      return disk.place();
+    }
+
+    @Override
+    public void close() {}
+
+    private static final class Lazy implements Appender {
+      private final Appender file;
+      private boolean forcesOnce;
+
+      Lazy(Appender file, boolean forcesOnce) {
+        this.file = file;
+        this.forcesOnce = forcesOnce;
+      }
+
+      @Override
+      public void write(byte[] bytes) throws IOException {
+        file.write(bytes);
+      }
+
+      @Override
+      public void force() throws IOException {
+        if (forcesOnce) {
+          file.force();
+          forcesOnce = false;
+        }
+      }
+
+      @Override
+      public void close() throws IOException {
+        file.close();
+      }
+    }
+  }
+}
--- /dev/null
+++ b/cluster/src/test/java/shalepaddle/agreement/GroupDayTest.java
@@ -0,0 +1,56 @@
+package shalepaddle.agreement;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/**
+ * Days of groups in virtual time. {@code -Dgroup.days=10000} plays more, {@code -Dgroup.first=17}
+ * begins with another seed.
+ */
+class GroupDayTest {
+  private static final int DAYS = Integer.getInteger("group.days", 150);
+  private static final int FIRST = Integer.getInteger("group.first", 1);
+
+  @Test
+  void nothingThatWasPromisedIsLost() throws Exception {
+    long yes = 0;
+    long reads = 0;
+    for (int seed = FIRST; seed < FIRST + DAYS; seed++) {
+      GroupDay.Report report = new GroupDay(seed, GroupDay.Variant.SOUND).play();
+      assertEquals(List.of(), report.broken(), "seed " + seed);
+      yes += report.yes();
+      reads += report.reads();
+    }
+    System.out.printf("%d days: %d promises, %d reads%n", DAYS, yes, reads);
+    assertTrue(yes > 50L * DAYS, yes + " promises in " + DAYS + " days");
+  }
+
+  @Test
+  void theSameSeedGivesTheSameDay() throws Exception {
+    assertEquals(
+        new GroupDay(5, GroupDay.Variant.SOUND).play(),
+        new GroupDay(5, GroupDay.Variant.SOUND).play());
+  }
+
+  @ParameterizedTest
+  @EnumSource(names = {"NO_FORCE", "OLD_NAME", "EARLY_YES", "STALE_READ"})
+  void whatIsBrokenOnPurposeIsFoundOut(GroupDay.Variant variant) throws Exception {
+    for (int seed = 1; seed <= 200; seed++) {
+      try {
+        if (!new GroupDay(seed, variant).play().broken().isEmpty()) {
+          System.out.println(variant + " found at seed " + seed);
+          return;
+        }
+      } catch (AssertionError e) {
+        System.out.println(variant + " found at seed " + seed + ": " + e.getMessage());
+        return;
+      }
+    }
+    throw new AssertionError(variant + " is not found in 200 days");
+  }
+}
