Operators' words have one way in, a class of their own

Change: OperatorWords takes the door's words and those of the node's other process; a word is now behind what was heard before of its server even where that came from a clock ahead. Measured: tests of the door, words and processes pass as before.

--- a/engine/src/main/java/shalepaddle/node/DoorKeeper.java
+++ b/engine/src/main/java/shalepaddle/node/DoorKeeper.java
@@ -39,7 +39,7 @@
       loop.execute(
           () -> {
             if (claimed.compareAndSet(false, true)) {
-              done.accept(balancer.exclude(member, out) ? Result.DONE : Result.UNKNOWN_MEMBER);
+              done.accept(balancer.words().said(member, out) ? Result.DONE : Result.UNKNOWN_MEMBER);
             }
           });
     } catch (RejectedExecutionException e) {
--- a/engine/src/main/java/shalepaddle/node/LoadBalancer.java
+++ b/engine/src/main/java/shalepaddle/node/LoadBalancer.java
@@ -22,7 +22,6 @@
 import shalepaddle.front.Gate;
 import shalepaddle.handover.ProcessState;
 import shalepaddle.handover.Word;
-import shalepaddle.handover.Words;
 import shalepaddle.joining.JoiningReading;
 import shalepaddle.loop.Clock;
 import shalepaddle.loop.Log;
@@ -123,7 +122,7 @@
   private final ProcessorUse processor;
   private final long pid = ProcessHandle.current().pid();
   private Channel listener;
-  private final Words words = new Words();
+  private final OperatorWords words;
 
   /** All servers of the list, null before it has begun. */
   private MemberList whole;
@@ -191,6 +190,7 @@
             new MetaServerCodec(),
             serverLimits(config, connections),
             dispatcher);
+    words = new OperatorWords(pools, dispatcher, time, log, this::publish);
     discovery =
         new DiscoveryClient(
             transport.connector(loop),
@@ -406,18 +406,12 @@
    * they hold: to every limit all are one.
    */
   public void partnered(List<Word> theirs, int partners, int clients, int serverConnections) {
-    words.merge(theirs).forEach(this::apply);
+    words.heard(theirs);
     clientsElsewhere = clients;
     front.limit((int) (config.sockets() * CLIENT_SHARE) - clients);
     pools.elsewhere(partners, serverConnections);
   }
 
-  private void apply(Word word) {
-    pools.exclude(word.server(), word.out());
-    dispatcher.exclude(word.server(), word.out());
-    publish();
-  }
-
   /** What has become of requests and attempts, as it stands now. */
   public FiguresReading figures() {
     return dispatcher.figures().reading();
@@ -433,20 +427,9 @@
     return stage == ProcessState.Stage.READY;
   }
 
-  /**
-   * Leaves a cache server out until it is put back, whatever discovery says of it meanwhile. False,
-   * and nothing is done, if no such server is known.
-   */
-  public boolean exclude(String member, boolean out) {
-    long server = MemberList.number(member);
-    if (!pools.knows(server)) {
-      return false;
-    }
-    log.line(member + (out ? " left out" : " put back") + " by hand");
-    Word word = new Word(server, out, (long) (time.now() * 1e3));
-    words.say(word);
-    apply(word);
-    return true;
+  /** What operators have said of cache servers, and where it comes in. */
+  OperatorWords words() {
+    return words;
   }
 
   /**
--- /dev/null
+++ b/engine/src/main/java/shalepaddle/node/OperatorWords.java
@@ -0,0 +1,82 @@
+package shalepaddle.node;
+
+import java.util.List;
+import shalepaddle.engine.Dispatcher;
+import shalepaddle.handover.Word;
+import shalepaddle.handover.Words;
+import shalepaddle.loop.Clock;
+import shalepaddle.loop.Log;
+import shalepaddle.membership.MemberList;
+import shalepaddle.upstream.ServerPools;
+
+/**
+ * The one way in for operators' words on cache servers, whoever says them: the door, another
+ * process of this node, or the group that all nodes are in. The last word on a server holds.
+ *
+ * <p>On the event loop alone.
+ */
+final class OperatorWords {
+  private final Words words = new Words();
+  private final ServerPools pools;
+  private final Dispatcher dispatcher;
+  private final Clock time;
+  private final Log log;
+  private final Runnable changed;
+
+  /**
+   * No word has been said.
+   *
+   * @param changed runs when a word has come into force
+   */
+  OperatorWords(ServerPools pools, Dispatcher dispatcher, Clock time, Log log, Runnable changed) {
+    this.pools = pools;
+    this.dispatcher = dispatcher;
+    this.time = time;
+    this.log = log;
+    this.changed = changed;
+  }
+
+  /** An operator says it at this node; false, and nothing is done, if no such server is known. */
+  boolean said(String member, boolean out) {
+    if (!knows(member)) {
+      return false;
+    }
+    log.line(member + (out ? " left out" : " put back") + " by hand");
+    say(MemberList.number(member), out);
+    return true;
+  }
+
+  /** Whether a server of this id is known. */
+  boolean knows(String member) {
+    return pools.knows(MemberList.number(member));
+  }
+
+  /** Other processes of this node have heard these. */
+  void heard(List<Word> theirs) {
+    words.merge(theirs).forEach(this::apply);
+  }
+
+  private void say(long server, boolean out) {
+    // Behind what was heard before of this server, whatever the clock of another process says.
+    long latest =
+        words.all().stream()
+            .filter(word -> word.server() == server)
+            .mapToLong(Word::atMillis)
+            .findAny()
+            .orElse(0);
+    Word word = new Word(server, out, Math.max((long) (time.now() * 1e3), latest + 1));
+    words.say(word);
+    apply(word);
+  }
+
+  private void apply(Word word) {
+    pools.exclude(word.server(), word.out());
+    dispatcher.exclude(word.server(), word.out());
+    changed.run();
+  }
+
+  /** All that were said, oldest first. */
+  List<Word> all() {
+    return words.all();
+  }
+}
