Members of a group as processes: links, init, join, remove, say; a lost disk loses nothing

Need: the agreed log has to run between machines, and be proven there.

A folder that is empty is refused: a machine that lost its disk joins under a new name.

--- /dev/null
+++ b/cli/src/main/java/shalepaddle/cli/ClusterCommand.java
@@ -0,0 +1,364 @@
+package shalepaddle.cli;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.UUID;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import shalepaddle.agreement.Agreement;
+import shalepaddle.agreement.Standing;
+import shalepaddle.cluster.GroupCaller;
+import shalepaddle.cluster.GroupMember;
+import shalepaddle.cluster.Place;
+import shalepaddle.membership.MemberList;
+import shalepaddle.promises.Answer;
+import shalepaddle.promises.Entry;
+import shalepaddle.promises.Promises;
+import shalepaddle.promises.Proposal;
+import shalepaddle.settings.FormatException;
+
+/** A group of members that hold promises by majority. */
+@Command(
+    name = "cluster",
+    description = "Begins, runs and asks a group that holds promises by majority.",
+    mixinStandardHelpOptions = true,
+    subcommands = {
+      ClusterCommand.Init.class,
+      ClusterCommand.Join.class,
+      ClusterCommand.Member.class,
+      ClusterCommand.Status.class,
+      ClusterCommand.Say.class,
+      ClusterCommand.Held.class,
+      ClusterCommand.Remove.class
+    })
+final class ClusterCommand implements Callable<Integer> {
+  @Override
+  public Integer call() {
+    new CommandLine(this).usage(System.err);
+    return CommandLine.ExitCode.USAGE;
+  }
+
+  /** The group, as a caller knows it. */
+  static final class Group {
+    @Option(names = "--group", required = true, description = "The group's name.")
+    private String group;
+
+    @Option(
+        names = "--member",
+        required = true,
+        paramLabel = "NAME=IP:PORT",
+        description = "A member, and where it is found from here; once for each.")
+    private Map<String, String> members = new LinkedHashMap<>();
+
+    Map<String, InetSocketAddress> addresses() throws FormatException {
+      Map<String, InetSocketAddress> addresses = new TreeMap<>();
+      for (var member : members.entrySet()) {
+        addresses.put(member.getKey(), MemberList.address(member.getValue()));
+      }
+      return addresses;
+    }
+
+    GroupCaller caller() throws IOException, FormatException {
+      return new GroupCaller(group, addresses(), System.err::println);
+    }
+  }
+
+  /** Where a member lives. */
+  static final class Own {
+    @Option(names = "--name", required = true, description = "This member's name.")
+    private String name;
+
+    @Option(names = "--folder", required = true, description = "What it keeps; its own alone.")
+    private Path folder;
+
+    @Option(
+        names = "--listen",
+        required = true,
+        paramLabel = "IP:PORT",
+        description = "Where it listens for the others: loopback, or the installation's network.")
+    private String listen;
+
+    @Option(
+        names = "--advertise",
+        paramLabel = "IP:PORT",
+        description = "Where others find it (default: where it listens).")
+    private String advertise;
+
+    Place place(Group group) throws FormatException {
+      return new Place(
+          group.group,
+          name,
+          folder,
+          MemberList.address(listen),
+          advertise == null ? null : MemberList.address(advertise),
+          new TreeMap<>(group.addresses()));
+    }
+  }
+
+  private interface Step {
+    int run() throws IOException, FormatException, InterruptedException;
+  }
+
+  /** What is wrong with what was asked for ends with 2, what went wrong with 1. */
+  private static int told(String name, Step step) throws InterruptedException {
+    try {
+      return step.run();
+    } catch (FormatException | IllegalArgumentException e) {
+      System.err.println("cluster " + name + ": " + e.getMessage());
+      return 2;
+    } catch (IOException e) {
+      System.err.println("cluster " + name + ": " + e.getMessage());
+      return 1;
+    }
+  }
+
+  /** The folder of one of those that begin a group. */
+  @Command(
+      name = "init",
+      description = "Makes the folder of a member with whom the group begins; once on each.",
+      mixinStandardHelpOptions = true)
+  static final class Init implements Callable<Integer> {
+    @Mixin private Group group;
+    @Mixin private Own own;
+
+    @Override
+    public Integer call() throws InterruptedException {
+      return told(
+          "init",
+          () -> {
+            GroupMember.init(own.place(group));
+            return 0;
+          });
+    }
+  }
+
+  /** The folder of one that comes later. */
+  @Command(
+      name = "join",
+      description = "Makes the folder of a new member, or of a machine that lost its own.",
+      mixinStandardHelpOptions = true)
+  static final class Join implements Callable<Integer> {
+    @Mixin private Group group;
+    @Mixin private Own own;
+
+    @Override
+    public Integer call() throws InterruptedException {
+      return told(
+          "join",
+          () -> {
+            GroupMember.join(own.place(group));
+            return 0;
+          });
+    }
+  }
+
+  /** A member by itself, without a node beside it. */
+  @Command(
+      name = "member",
+      description = "Runs a member until it is told to end.",
+      mixinStandardHelpOptions = true)
+  static final class Member implements Callable<Integer> {
+    @Mixin private Group group;
+    @Mixin private Own own;
+
+    @Override
+    public Integer call() throws InterruptedException {
+      return told(
+          "member",
+          () -> {
+            CountDownLatch end = new CountDownLatch(1);
+            try (GroupMember member = new GroupMember(own.place(group), System.err::println)) {
+              member.start(new Lines());
+              System.err.println("listens on " + member.address());
+              Runtime.getRuntime().addShutdownHook(new Thread(end::countDown));
+              end.await();
+            }
+            return 0;
+          });
+    }
+  }
+
+  /** A line for each change of the group. */
+  private static final class Lines implements Agreement.Listener {
+    private String last = "";
+
+    @Override
+    public void applied(long index, Proposal proposal, Answer answer) {}
+
+    @Override
+    public void restored(Promises.Image image) {
+      System.err.println("caught up by a snapshot to entry " + image.index());
+    }
+
+    @Override
+    public void changed(Standing now) {
+      String line =
+          "group: term %d, leader %s, voting %s%s"
+              .formatted(
+                  now.term(),
+                  now.leader(),
+                  now.voting(),
+                  now.steppedAside() == null ? "" : ", stepped aside: " + now.steppedAside());
+      if (!line.equals(last)) {
+        last = line;
+        System.err.println(line);
+      }
+    }
+  }
+
+  /** How the members see the group. */
+  @Command(
+      name = "status",
+      description = "Tells how each member sees the group; ends with 1 if nobody leads.",
+      mixinStandardHelpOptions = true)
+  static final class Status implements Callable<Integer> {
+    @Mixin private Group group;
+
+    @Override
+    public Integer call() throws InterruptedException {
+      return told(
+          "status",
+          () -> {
+            boolean led = false;
+            try (GroupCaller caller = group.caller()) {
+              for (String member : group.addresses().keySet()) {
+                led |= line(caller, member);
+              }
+            }
+            return led ? 0 : 1;
+          });
+    }
+
+    private static boolean line(GroupCaller caller, String member) throws InterruptedException {
+      try {
+        Standing standing = standing(caller, member);
+        System.out.printf(
+            "%-12s %-9s term %-4d leader %-12s committed %-8d last %-8d voting %s%s%n",
+            member,
+            standing.role(),
+            standing.term(),
+            standing.leader(),
+            standing.committed(),
+            standing.last(),
+            standing.voting(),
+            standing.steppedAside() == null ? "" : "  ASIDE: " + standing.steppedAside());
+        return standing.leads();
+      } catch (IOException e) {
+        System.out.printf("%-12s no answer: %s%n", member, e.getMessage());
+        return false;
+      }
+    }
+
+    /** The first question only opens the connection. */
+    private static Standing standing(GroupCaller caller, String member)
+        throws IOException, InterruptedException {
+      for (int i = 0; i < 20; i++) {
+        try {
+          return caller.standing(member);
+        } catch (IOException e) {
+          Thread.sleep(20);
+        }
+      }
+      return caller.standing(member);
+    }
+  }
+
+  /** A word for all nodes. */
+  @Command(
+      name = "say",
+      description = "Leaves a cache server out for all nodes, or puts it back.",
+      mixinStandardHelpOptions = true)
+  static final class Say implements Callable<Integer> {
+    @Mixin private Group group;
+
+    @Parameters(index = "0", paramLabel = "exclude|include")
+    private String word;
+
+    @Parameters(index = "1", paramLabel = "SERVER", description = "Its id, as discovery has it.")
+    private String server;
+
+    @Option(
+        names = "--id",
+        description =
+            "The same again gets the same answer, and no second effect (default: a new one).")
+    private String id = UUID.randomUUID().toString();
+
+    @Option(names = "--millis", description = "How long to wait (default: ${DEFAULT-VALUE}).")
+    private long millis = 3000;
+
+    @Override
+    public Integer call() throws InterruptedException {
+      return told(
+          "say",
+          () -> {
+            if (!word.equals("exclude") && !word.equals("include")) {
+              throw new IllegalArgumentException("'" + word + "': say exclude or include");
+            }
+            Proposal proposal =
+                new Proposal(
+                    id, System.currentTimeMillis(), new Entry.Say(server, word.equals("exclude")));
+            try (GroupCaller caller = group.caller()) {
+              Answer answer = caller.hold(proposal, null, millis);
+              System.out.println(answer.kind() + " as entry " + answer.index());
+              return answer.kind() == Answer.Kind.HELD ? 0 : 1;
+            } catch (IOException e) {
+              throw new IOException(e.getMessage() + "; ask again with --id " + id, e);
+            }
+          });
+    }
+  }
+
+  /** What is held. */
+  @Command(
+      name = "held",
+      description = "Tells the cache servers that the group holds out.",
+      mixinStandardHelpOptions = true)
+  static final class Held implements Callable<Integer> {
+    @Mixin private Group group;
+
+    @Override
+    public Integer call() throws InterruptedException {
+      return told(
+          "held",
+          () -> {
+            try (GroupCaller caller = group.caller()) {
+              caller.read(null, 3000).out().forEach(System.out::println);
+            }
+            return 0;
+          });
+    }
+  }
+
+  /** A member leaves. */
+  @Command(
+      name = "remove",
+      description = "Takes a member out of the group for good; its name is not used again.",
+      mixinStandardHelpOptions = true)
+  static final class Remove implements Callable<Integer> {
+    @Mixin private Group group;
+
+    @Parameters(index = "0", paramLabel = "NAME")
+    private String name;
+
+    @Override
+    public Integer call() throws InterruptedException {
+      return told(
+          "remove",
+          () -> {
+            try (GroupCaller caller = group.caller()) {
+              caller.remove(name, 10_000);
+            }
+            return 0;
+          });
+    }
+  }
+}
--- a/cli/src/main/java/shalepaddle/cli/Main.java
+++ b/cli/src/main/java/shalepaddle/cli/Main.java
@@ -29,6 +29,7 @@
     subcommands = {
       TryCommand.class,
       DayCommand.class,
+      ClusterCommand.class,
       Main.Serve.class,
       Main.SimHostCommand.class,
       Main.Rehearse.class
--- a/cli/src/test/java/shalepaddle/cli/CommandLineIT.java
+++ b/cli/src/test/java/shalepaddle/cli/CommandLineIT.java
@@ -40,7 +40,7 @@
     assertTrue(version.output().matches("shalepaddle \\d+\\.\\d+\\.\\d+\\S*\\n"), version.output());
     Ended help = run("--help");
     assertEquals(0, help.code());
-    for (String command : List.of("try", "day", "serve", "simhost", "rehearse")) {
+    for (String command : List.of("try", "day", "cluster", "serve", "simhost", "rehearse")) {
       assertTrue(help.output().contains("\n  " + command + " "), help.output());
       assertEquals(0, run(command, "--help").code());
     }
--- /dev/null
+++ b/cluster/src/main/java/shalepaddle/cluster/GroupMember.java
@@ -0,0 +1,431 @@
+package shalepaddle.cluster;
+
+import io.microraft.model.message.RaftMessage;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import shalepaddle.agreement.Agreement;
+import shalepaddle.agreement.NotHeldException;
+import shalepaddle.agreement.NotHeldException.Known;
+import shalepaddle.agreement.Standing;
+import shalepaddle.formats.MessageForms;
+import shalepaddle.formats.PromiseForms;
+import shalepaddle.links.MemberLinks;
+import shalepaddle.links.TurnedDownException;
+import shalepaddle.promises.Answer;
+import shalepaddle.promises.Promises;
+import shalepaddle.promises.Proposal;
+import shalepaddle.storage.FolderDisk;
+import shalepaddle.storage.Journal;
+
+/**
+ * One member of a group, as a process has it. What is asked of it goes to whoever leads, again and
+ * under the same id for as long as the caller waits; so an answer that was lost on the way comes
+ * the second time.
+ *
+ * <p>A member begins in one of two ways, each once: {@link #init} for those with whom the group
+ * begins, {@link #join} for all others. A folder that is empty is neither: a machine that lost its
+ * disk must not vote under its old name, since it may have voted before.
+ *
+ * <p>Thread-safe.
+ */
+public final class GroupMember implements AutoCloseable {
+  /** What may be asked of a member over its links. */
+  static final String HOLD = "hold";
+
+  static final String READ = "read";
+  static final String STANDING = "standing";
+  static final String JOIN = "join";
+  static final String VOTE = "vote";
+  static final String REMOVE = "remove";
+
+  /** Before the same is asked again, where nobody could answer. */
+  private static final long AGAIN_MILLIS = 40;
+
+  /** How long another member may take with an answer, before it is asked again. */
+  private static final long ASK_MILLIS = 500;
+
+  /** Entries between two snapshots. */
+  private static final int SNAPSHOT_EVERY = 10_000;
+
+  private final Place place;
+  private final Consumer<String> log;
+  private final MemberThread turns;
+  private final Journal journal;
+  private final MemberLinks links;
+  private volatile Agreement agreement;
+
+  /**
+   * Opens the member's folder and listens; {@link #start} takes part.
+   *
+   * @throws IOException if the folder can't be had or believed, or is none that was begun, or the
+   *     address is taken; with the remedy
+   */
+  public GroupMember(Place place, Consumer<String> log) throws IOException {
+    this.place = place;
+    this.log = log;
+    FolderDisk disk = new FolderDisk(place.folder());
+    Journal opened = null;
+    try {
+      if (Journal.owner(disk) == null) {
+        throw new IOException(
+            place.folder()
+                + " holds no member: begin it with init where the group begins, and with join, under a"
+                + " name that was never used, where a machine is new or has lost its disk");
+      }
+      opened = new Journal(disk, place.group(), place.name());
+      journal = opened;
+      opened.told().forEach(log);
+      turns = new MemberThread(log);
+      links =
+          new MemberLinks(
+              place.group(), place.name(), place.listen(), advertised(place), new Incoming());
+    } catch (IOException e) {
+      disk.close();
+      throw e;
+    }
+    place.others().forEach(links::know);
+  }
+
+  private static String advertised(Place place) {
+    InetSocketAddress found = place.advertised() == null ? place.listen() : place.advertised();
+    return found.getPort() == 0 ? "" : text(found);
+  }
+
+  private static String text(InetSocketAddress address) {
+    return address.getAddress().getHostAddress() + ":" + address.getPort();
+  }
+
+  /**
+   * Makes the folder of a member with whom a group begins.
+   *
+   * @throws IOException if there is a member in it already
+   */
+  public static void init(Place place) throws IOException {
+    begin(place.beginning(), true);
+  }
+
+  /** Makes the folder of a member that joins a group that is there. */
+  public static void join(Place place) throws IOException {
+    if (place.members().containsKey(place.name())) {
+      throw new IOException(
+          "'%s' is one of those with whom the group began, and may have voted: join under a new name"
+              .formatted(place.name()));
+    }
+    begin(place, false);
+  }
+
+  private static void begin(Place place, boolean first) throws IOException {
+    FolderDisk disk = new FolderDisk(place.folder());
+    try {
+      List<String> owner = Journal.owner(disk);
+      if (owner != null) {
+        throw new IOException(
+            "%s holds member '%s' of group '%s' already: nothing was changed"
+                .formatted(place.folder(), owner.get(1), owner.get(0)));
+      }
+      Journal journal = new Journal(disk, place.group(), place.name());
+      if (first) {
+        journal.beginGroup(place.members().keySet());
+      }
+    } finally {
+      disk.close();
+    }
+  }
+
+  /** Where it listens. */
+  public InetSocketAddress address() {
+    return links.address();
+  }
+
+  /**
+   * Takes part from now on. A member that joins first asks the others, until one of them answers.
+   *
+   * @param listener is told on the member's thread
+   */
+  public void start(Agreement.Listener listener) {
+    if (journal.restored() != null) {
+      agree(place.members().keySet(), listener);
+      log.accept("member " + place.name() + " of " + place.group() + " goes on");
+      return;
+    }
+    log.accept("member " + place.name() + " asks to join " + place.group());
+    askToJoin(listener);
+  }
+
+  private void agree(Iterable<String> began, Agreement.Listener listener) {
+    List<String> members = new ArrayList<>();
+    began.forEach(members::add);
+    agreement =
+        new Agreement(
+            place.group(),
+            place.name(),
+            members,
+            SNAPSHOT_EVERY,
+            journal,
+            turns,
+            (to, message) -> links.send(to, MessageForms.message(message)),
+            System.nanoTime(),
+            listener);
+    agreement.start();
+  }
+
+  private void askToJoin(Agreement.Listener listener) {
+    List<String> others = new ArrayList<>(place.others().keySet());
+    CompletableFuture<byte[]> first = new CompletableFuture<>();
+    for (String other : others) {
+      links
+          .ask(other, JOIN, place.name().getBytes(StandardCharsets.UTF_8), 4 * ASK_MILLIS)
+          .thenAccept(first::complete);
+    }
+    turns.runIn(
+        TimeUnit.MILLISECONDS.toNanos(4 * ASK_MILLIS),
+        () -> first.completeExceptionally(new IOException("nobody answers")));
+    first.whenComplete(
+        (began, cause) ->
+            turns.run(
+                () -> {
+                  if (cause != null) {
+                    askToJoin(listener);
+                    return;
+                  }
+                  log.accept("member " + place.name() + " has joined, and is caught up");
+                  agree(List.of(new String(began, StandardCharsets.UTF_8).split(" ")), listener);
+                  askForVote();
+                }));
+  }
+
+  /** A member that has joined hears all; it asks for its vote until it has one. */
+  private void askForVote() {
+    Standing standing = standing();
+    if (standing.voting().contains(place.name())) {
+      return;
+    }
+    if (standing.leader() != null) {
+      links.ask(standing.leader(), VOTE, place.name().getBytes(StandardCharsets.UTF_8), ASK_MILLIS);
+    }
+    turns.runIn(TimeUnit.MILLISECONDS.toNanos(ASK_MILLIS), this::askForVote);
+  }
+
+  /** How the group stands, as this member sees it. */
+  public Standing standing() {
+    Agreement now = agreement;
+    return now == null
+        ? new Standing(place.name(), "JOINING", null, 0, List.of(), List.of(), 0, 0, null)
+        : now.standing();
+  }
+
+  /**
+   * Asks the group to hold this, whoever leads.
+   *
+   * @param millis how long the caller waits
+   * @return the answer, once a majority has it on disk; else fails with {@link NotHeldException}
+   */
+  public CompletionStage<Answer> hold(Proposal proposal, long millis) {
+    return new Asking<Answer>(
+            HOLD,
+            PromiseForms.proposal(proposal),
+            PromiseForms::answer,
+            () -> agreement.propose(proposal),
+            millis)
+        .begin();
+  }
+
+  /** What is held at this moment: whoever was answered before this call finds it here. */
+  public CompletionStage<Promises.Image> read(long millis) {
+    return new Asking<Promises.Image>(
+            READ, new byte[0], PromiseForms::image, () -> agreement.read(), millis)
+        .begin();
+  }
+
+  private interface Parse<T> {
+    T read(byte[] bytes) throws IOException;
+  }
+
+  /** One question, asked here or of whoever leads until it is answered or its time is up. */
+  private final class Asking<T> {
+    private final String what;
+    private final byte[] body;
+    private final Parse<T> parse;
+    private final Supplier<CompletionStage<T>> here;
+    private final long until;
+    private final CompletableFuture<T> answer = new CompletableFuture<>();
+
+    /** Whether it may have been held by somebody whose answer did not come. */
+    private boolean maybe;
+
+    Asking(
+        String what, byte[] body, Parse<T> parse, Supplier<CompletionStage<T>> here, long millis) {
+      this.what = what;
+      this.body = body;
+      this.parse = parse;
+      this.here = here;
+      until = turns.nanos() + TimeUnit.MILLISECONDS.toNanos(millis);
+    }
+
+    CompletionStage<T> begin() {
+      turns.run(this::ask);
+      return answer;
+    }
+
+    private void ask() {
+      long left = TimeUnit.NANOSECONDS.toMillis(until - turns.nanos());
+      if (left <= 0) {
+        answer.completeExceptionally(
+            new NotHeldException(
+                maybe ? Known.MAYBE : Known.NEVER, "the group has no majority in contact", null));
+        return;
+      }
+      Standing standing = standing();
+      if (standing.leads()) {
+        here.get().whenComplete(this::came);
+      } else if (standing.leader() != null) {
+        links
+            .ask(standing.leader(), what, body, Math.min(left, ASK_MILLIS))
+            .thenApply(this::parsed)
+            .whenComplete(this::came);
+      } else {
+        later();
+      }
+    }
+
+    private T parsed(byte[] bytes) {
+      try {
+        return parse.read(bytes);
+      } catch (IOException e) {
+        throw new CompletionException(e);
+      }
+    }
+
+    private void came(T value, Throwable cause) {
+      if (cause == null) {
+        answer.complete(value);
+        return;
+      }
+      Throwable root = cause instanceof CompletionException ? cause.getCause() : cause;
+      boolean never =
+          root instanceof NotHeldException held
+              ? held.known() == Known.NEVER
+              : root instanceof TurnedDownException down && down.getMessage().startsWith("never");
+      turns.run(
+          () -> {
+            maybe |= !never;
+            later();
+          });
+    }
+
+    private void later() {
+      turns.runIn(TimeUnit.MILLISECONDS.toNanos(AGAIN_MILLIS), this::ask);
+    }
+  }
+
+  /** What comes from others. */
+  private final class Incoming implements MemberLinks.Listener {
+    @Override
+    public void agree(byte[] message) {
+      Agreement now = agreement;
+      if (now == null) {
+        return;
+      }
+      RaftMessage read;
+      try {
+        read = MessageForms.message(message);
+      } catch (IOException e) {
+        log.accept("a message is passed over: " + e.getMessage());
+        return;
+      }
+      now.handle(read);
+    }
+
+    @Override
+    public CompletionStage<byte[]> asked(String what, byte[] body) {
+      Agreement now = agreement;
+      if (what.equals(STANDING)) {
+        return CompletableFuture.completedFuture(StandingForms.standing(standing()));
+      }
+      if (now == null) {
+        return CompletableFuture.failedFuture(
+            new IOException("never: " + place.name() + " is still joining"));
+      }
+      try {
+        return switch (what) {
+          case HOLD -> told(here(PromiseForms.proposal(body), now).thenApply(PromiseForms::answer));
+          case READ -> told(read(now).thenApply(PromiseForms::image));
+          case JOIN -> joins(now, new String(body, StandardCharsets.UTF_8));
+          case VOTE ->
+              told(
+                  now.change(new String(body, StandardCharsets.UTF_8), Agreement.Change.VOTE)
+                      .thenApply(done -> new byte[0]));
+          case REMOVE ->
+              told(
+                  now.change(new String(body, StandardCharsets.UTF_8), Agreement.Change.LEAVE)
+                      .thenApply(done -> new byte[0]));
+          default ->
+              CompletableFuture.failedFuture(
+                  new IOException("never: no question is '" + what + "'"));
+        };
+      } catch (IOException | IllegalArgumentException e) {
+        return CompletableFuture.failedFuture(new IOException("never: " + e.getMessage()));
+      }
+    }
+
+    /** Whoever does not lead passes on what a caller from outside asks; members ask the leader. */
+    private CompletionStage<Answer> here(Proposal proposal, Agreement now) {
+      return now.standing().leads() ? now.propose(proposal) : hold(proposal, ASK_MILLIS);
+    }
+
+    private CompletionStage<Promises.Image> read(Agreement now) {
+      return now.standing().leads() ? now.read() : GroupMember.this.read(ASK_MILLIS);
+    }
+
+    private CompletionStage<byte[]> joins(Agreement now, String name) {
+      byte[] began = String.join(" ", now.began()).getBytes(StandardCharsets.UTF_8);
+      if (now.standing().members().contains(name)) {
+        return CompletableFuture.completedFuture(began);
+      }
+      if (!now.standing().leads()) {
+        return CompletableFuture.failedFuture(
+            new IOException("never: " + place.name() + " does not lead"));
+      }
+      return told(now.change(name, Agreement.Change.LEARN).thenApply(done -> began));
+    }
+
+    /** A failure tells at its begin whether it can have been held. */
+    private static <T> CompletionStage<T> told(CompletionStage<T> answer) {
+      return answer.handle(
+          (value, cause) -> {
+            if (cause == null) {
+              return value;
+            }
+            Throwable root = cause instanceof CompletionException ? cause.getCause() : cause;
+            boolean never = root instanceof NotHeldException held && held.known() == Known.NEVER;
+            throw new CompletionException(
+                new IOException((never ? "never: " : "maybe: ") + root.getMessage()));
+          });
+    }
+
+    @Override
+    public void line(String text) {
+      log.accept(text);
+    }
+  }
+
+  /** Takes no part any more. */
+  @Override
+  public void close() throws IOException {
+    links.close();
+    if (agreement != null) {
+      agreement.close();
+    }
+    turns.close();
+    journal.close();
+  }
+}
--- a/cluster/src/main/java/shalepaddle/formats/PromiseForms.java
+++ b/cluster/src/main/java/shalepaddle/formats/PromiseForms.java
@@ -40,11 +40,21 @@
         });
   }
 
-  static void answer(Answer answer, Values.Writer out) throws IOException {
+  /** An answer's bytes. */
+  public static byte[] answer(Answer answer) {
+    return Values.write(answer, PromiseForms::answer);
+  }
+
+  /** An answer. */
+  public static Answer answer(byte[] bytes) throws IOException {
+    return Values.read(bytes, PromiseForms::answer);
+  }
+
+  private static void answer(Answer answer, Values.Writer out) throws IOException {
     out.put(answer.kind().name()).put(answer.index());
   }
 
-  static Answer answer(Values.Reader in) throws IOException {
+  private static Answer answer(Values.Reader in) throws IOException {
     return new Answer(Answer.Kind.valueOf(in.text()), in.number());
   }
 
--- /dev/null
+++ b/cluster/src/main/java/shalepaddle/links/TurnedDownException.java
@@ -0,0 +1,13 @@
+package shalepaddle.links;
+
+import java.io.IOException;
+
+/** Who was asked has answered that it won't; the message says why. */
+public final class TurnedDownException extends IOException {
+  private static final long serialVersionUID = 1;
+
+  /** With the reason, as it was given. */
+  public TurnedDownException(String why) {
+    super(why);
+  }
+}
--- /dev/null
+++ b/cluster/src/main/java/shalepaddle/links/Words.java
@@ -0,0 +1,45 @@
+package shalepaddle.links;
+
+import java.io.IOException;
+import shalepaddle.formats.Values;
+
+/** What frames other than those of the agreement carry. */
+final class Words {
+  private Words() {}
+
+  /**
+   * Who speaks.
+   *
+   * @param group the group's name
+   * @param name the speaker's, empty for one that only asks
+   * @param address where it listens, empty for nowhere
+   */
+  record Hello(String group, String name, String address) {
+    byte[] bytes() {
+      return Values.write(
+          this, (hello, out) -> out.put(hello.group).put(hello.name).put(hello.address));
+    }
+
+    static Hello of(byte[] bytes) throws IOException {
+      return Values.read(bytes, in -> new Hello(in.text(), in.text(), in.text()));
+    }
+  }
+
+  /**
+   * A question or an answer.
+   *
+   * @param number the asker's own, the same in the answer
+   * @param what what is asked for; in an answer, empty for one that was given, else why there is
+   *     none
+   * @param body whatever belongs to it
+   */
+  record Said(long number, String what, byte[] body) {
+    byte[] bytes() {
+      return Values.write(this, (said, out) -> out.put(said.number).put(said.what).put(said.body));
+    }
+
+    static Said of(byte[] bytes) throws IOException {
+      return Values.read(bytes, in -> new Said(in.number(), in.text(), in.bytes()));
+    }
+  }
+}
--- a/cluster/src/main/java/shalepaddle/storage/Journal.java
+++ b/cluster/src/main/java/shalepaddle/storage/Journal.java
@@ -1,5 +1,6 @@
 package shalepaddle.storage;
 
+import io.microraft.RaftEndpoint;
 import io.microraft.model.log.LogEntry;
 import io.microraft.model.log.RaftGroupMembersView;
 import io.microraft.model.log.SnapshotChunk;
@@ -11,10 +12,13 @@
 import java.io.Closeable;
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.SortedMap;
 import java.util.TreeMap;
+import shalepaddle.formats.Endpoint;
 import shalepaddle.formats.LogForms;
 import shalepaddle.formats.Values;
 
@@ -192,7 +196,7 @@
   private RaftEndpointPersistentState endpoint(boolean voting) {
     return LogForms.model()
         .createRaftEndpointPersistentStateBuilder()
-        .setLocalEndpoint(new shalepaddle.formats.Endpoint(name))
+        .setLocalEndpoint(new Endpoint(name))
         .setVoting(voting)
         .build();
   }
@@ -237,6 +241,20 @@
     return newest;
   }
 
+  /** The member is one of these, with whom the group begins; all of them vote. */
+  public void beginGroup(Collection<String> names) throws IOException {
+    Collection<RaftEndpoint> all = new LinkedHashSet<>();
+    names.forEach(member -> all.add(new Endpoint(member)));
+    persistAndFlushInitialGroupMembers(
+        LogForms.model()
+            .createRaftGroupMembersViewBuilder()
+            .setLogIndex(0)
+            .setMembers(all)
+            .setVotingMembers(all)
+            .build());
+    persistAndFlushLocalEndpoint(endpoint(true));
+  }
+
   /** What was read, to begin with; null where the member has never begun. */
   public RestoredRaftState restored() {
     if (endpoint == null || members == null) {
