Leave unread for 100 ms what crosses the end of a client's connection; then read it off

By the protocol the client asks once more where the node has not read the request, and has lost it where it has. ClientHandler.endQuietly ended the sending side and read on. So a few of 20,000 requests, whose client sent in the moment in which its resting connection was ended, were lost; no answer was late, none was dropped and no connection was closed with one owed, as a line for each of those showed (none seen).

Change: whoever is told to leave is not read from for 100 ms, in which it has heard of it; after that what has come is read off and dropped, so that nothing resets the connection, which is what was for. Reading in that state no longer depends on the sending end, which is shut.

--- a/engine/src/main/java/shalepaddle/front/ClientHandler.java
+++ b/engine/src/main/java/shalepaddle/front/ClientHandler.java
@@ -34,6 +34,12 @@
   /** How long a client may read nothing of what waits for it. */
   private static final long MAX_STALL_NANOS = 10_000_000_000L;
 
+  /**
+   * How long nothing is read from a client that was told to leave: what it sends before it can have
+   * heard of that crosses the end.
+   */
+  private static final long CROSSING_MILLIS = 100;
+
   private final Dispatcher dispatcher;
   private final LoopClock clock;
   private final ClientConnections connections;
@@ -70,6 +76,9 @@
   /** Whether all is answered and the sending end is closed, so that the client leaves. */
   private boolean leaving;
 
+  /** Whether what comes may cross the end of its sending end. */
+  private boolean crossing;
+
   ClientHandler(
       Dispatcher dispatcher,
       ClientConnections connections,
@@ -212,12 +221,14 @@
     }
   }
 
-  /** Reads on while the client reads its answers and is not owed too many. */
+  /**
+   * Reads on while the client reads its answers and is not owed too many; and where it was told to
+   * leave, once nothing can cross that any more.
+   */
   private void steer() {
-    channel
-        .config()
-        .setAutoRead(
-            channel.isWritable() && slots.size() < turns.owed() && !rest.on() && !decoder.lost());
+    boolean takes =
+        channel.isWritable() && slots.size() < turns.owed() && !rest.on() && !decoder.lost();
+    channel.config().setAutoRead(leaving ? !crossing : takes);
   }
 
   private void penalize() {
@@ -364,11 +375,7 @@
     }
   }
 
-  /**
-   * Takes nothing more, and does the step once all that was written has gone out. What still comes
-   * is read off and dropped: left unread it would make the kernel reset the connection, and a
-   * client that is reset has lost its request, where one that sees the end asks once more.
-   */
+  /** Takes nothing more, and does the step once all that was written has gone out. */
   private void end(ChannelFutureListener step) {
     closing = true;
     stand();
@@ -381,9 +388,10 @@
    *
    * <p>Guards against losing a request that came while the node stood still, or was busy with
    * others: an end with such bytes unread resets the connection. What is left is a request that
-   * arrives between that look and the next system call. Its client sees the end of the stream and
-   * no reset, since the receiving end stays open until it leaves: by the protocol it asks once more
-   * on another connection, which does no harm because the request is dropped unread.
+   * arrives between that look and the moment in which its client hears of the end. By the protocol
+   * the client asks once more on another connection where the node has not read it, and has lost it
+   * where the node has: so nothing is read for {@value #CROSSING_MILLIS} ms. What has come is read
+   * off and dropped after that, since unread bytes would make the kernel reset the connection.
    *
    * @param now whether its descriptor is wanted, so that the client is not waited for
    */
@@ -400,7 +408,18 @@
       return true;
     }
     leaving = true;
+    crossing = true;
+    steer();
     end(done -> duplex.shutdownOutput());
+    channel
+        .eventLoop()
+        .schedule(
+            () -> {
+              crossing = false;
+              steer();
+            },
+            CROSSING_MILLIS,
+            TimeUnit.MILLISECONDS);
     return true;
   }
 
