--- a/engine/src/main/java/shalepaddle/front/ClientHandler.java
+++ b/engine/src/main/java/shalepaddle/front/ClientHandler.java
@@ -17,6 +17,7 @@
 import shalepaddle.engine.Submission;
 import shalepaddle.engine.ValueSource;
 import shalepaddle.loop.LoopClock;
+import shalepaddle.overload.Insistence;
 
 /** A client's connection: takes its commands and gives the answers in their order. */
 final class ClientHandler extends ChannelInboundHandlerAdapter {
@@ -51,9 +52,10 @@
 
   private final Turns turns;
   private final Turns.Count sent = new Turns.Count();
+  private final Insistence insistence = new Insistence();
   private int errors;
 
-  /** For errors, or for having sent the most. */
+  /** For errors, for having sent the most, or for coming again too soon. */
   private final Rest rest = new Rest();
 
   /**
@@ -223,9 +225,19 @@
     pause(TimeUnit.MILLISECONDS.toNanos(PENALTY_MILLIS));
   }
 
-  /** Reads nothing for so long at least. */
+  /** For how long to read nothing, since requests in a row were refused. */
+  private long insists(ClientCommand.Refused refused) {
+    long advice = TimeUnit.MILLISECONDS.toNanos(refused.adviceMillis());
+    long pause = 0;
+    for (int i = 0; i < refused.count(); i++) {
+      pause = insistence.refused(i < refused.repeats(), advice, clock.now());
+    }
+    return pause;
+  }
+
+  /** Reads nothing for so long at least, 0 to go on. */
   private void pause(long nanos) {
-    if (rest.atLeast(clock.now(), nanos)) {
+    if (nanos > 0 && rest.atLeast(clock.now(), nanos)) {
       steer();
       resumeIn(nanos);
     }
@@ -262,7 +274,8 @@
       return;
     }
     reading = true;
-    int asks = command.answer() == null ? 1 : command.refused();
+    ClientCommand.Refused refused = command.refused();
+    int asks = command.answer() == null ? 1 : refused.count();
     used |= asks > 0;
     Slot slot = new Slot();
     slots.add(slot);
@@ -284,9 +297,8 @@
       slot.last = command.lost() || errors >= MAX_ERRORS;
       slot.whole(answer);
     }
-    long pause = asks > 0 ? turns.pause(sent, asks, clock.now()) : 0;
-    if (pause > 0) {
-      pause(pause);
+    if (asks > 0) {
+      pause(Math.max(turns.pause(sent, asks, clock.now()), insists(refused)));
     }
     if (slots.size() >= turns.owed()) {
       steer();
