--- a/benchmarks/src/main/java/shalepaddle/benchmarks/AfterTrigger.java
+++ b/benchmarks/src/main/java/shalepaddle/benchmarks/AfterTrigger.java
@@ -1,14 +1,11 @@
 package shalepaddle.benchmarks;
 
 import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
-import java.util.Map;
 import java.util.concurrent.Callable;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -19,6 +16,7 @@
 import org.knowm.xchart.XYChartBuilder;
 import org.knowm.xchart.style.markers.SeriesMarkers;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Option;
 
 /**
@@ -48,11 +46,7 @@
   /** Steps of the timeline over which goodput is taken: single ones differ by chance. */
   private static final int WINDOW = 10;
 
-  @Option(
-      names = "--jar",
-      paramLabel = "NAME=FOLDER",
-      description = "A node: the root of a checkout that is built (default: now=the current one).")
-  private Map<String, Path> jars = new LinkedHashMap<>(Map.of("now", Path.of("")));
+  @Mixin private Nodes nodes;
 
   @Option(
       names = "--times",
@@ -77,9 +71,6 @@
   @Option(names = "--repeats", description = "Repeats at most (default: ${DEFAULT-VALUE}).")
   private int repeats = 1000;
 
-  @Option(names = "--core", description = "The node's core (default: ${DEFAULT-VALUE}).")
-  private int core = 1;
-
   @Option(names = "--picture", paramLabel = "FILE", description = "Draws it, as a PNG.")
   private Path picture;
 
@@ -107,27 +98,21 @@
 
   @Override
   public Integer call() throws Exception {
-    Path temporary = Files.createTempDirectory("after-trigger");
     try (Servers servers = new Servers(8, 100)) {
       int port = Subject.freePort();
-      Map<String, Subject> subjects = new LinkedHashMap<>();
-      Map<String, Double> able = new LinkedHashMap<>();
-      for (var jar : jars.entrySet()) {
-        Path config = temporary.resolve(jar.getKey() + ".json");
-        Files.writeString(config, Subject.config(port, servers));
-        Subject subject = Subject.node(jar.getKey(), jar.getValue(), config);
-        subjects.put(jar.getKey(), subject);
-        try (Subject.Running running = subject.start(core, port)) {
-          able.put(jar.getKey(), Load.run(port, 64, 6, 5).perSecond());
+      List<Subject> subjects = nodes.subjects(port, servers);
+      // All are asked the same, which is what the least able can do: their curves are compared.
+      double least = Double.POSITIVE_INFINITY;
+      for (Subject subject : subjects) {
+        try (Subject.Running running = nodes.start(subject, port)) {
+          double able = Load.run(port, 64, 6, 5).perSecond();
+          System.out.printf(Locale.ROOT, "%-8s can do %.0f/s%n", subject.name(), able);
+          least = Math.min(least, able);
         }
-        System.out.printf(
-            Locale.ROOT, "%-8s can do %.0f/s%n", subject.name(), able.get(jar.getKey()));
       }
-      // All are asked the same, which is what the least able can do: their curves are compared.
-      double least = able.values().stream().mapToDouble(Double::doubleValue).min().orElseThrow();
       for (double multiple : times) {
         for (OpenLoad.Again again : manners) {
-          for (Subject subject : subjects.values()) {
+          for (Subject subject : subjects) {
             play(subject, port, multiple, least, again);
           }
         }
@@ -148,7 +133,7 @@
           return seconds >= BURST_FROM && seconds < BURST_TO ? BURST * usualRate : usualRate;
         };
     ScheduledExecutorService signals = Executors.newSingleThreadScheduledExecutor();
-    try (Subject.Running running = subject.start(core, port)) {
+    try (Subject.Running running = nodes.start(subject, port)) {
       signals.schedule(() -> running.signal("STOP"), PAUSE_FROM, TimeUnit.SECONDS);
       signals.schedule(() -> running.signal("CONT"), PAUSE_TO, TimeUnit.SECONDS);
       OpenLoad.Result result =
--- a/benchmarks/src/main/java/shalepaddle/benchmarks/BesideRelay.java
+++ b/benchmarks/src/main/java/shalepaddle/benchmarks/BesideRelay.java
@@ -1,7 +1,5 @@
 package shalepaddle.benchmarks;
 
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -9,6 +7,7 @@
 import java.util.concurrent.Callable;
 import java.util.stream.IntStream;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Option;
 
 /**
@@ -23,11 +22,7 @@
   /** The part of the answers that may be no values: a refusal costs a fraction of a request. */
   private static final double MOST_REFUSED = 0.01;
 
-  @Option(
-      names = "--jar",
-      paramLabel = "NAME=FOLDER",
-      description = "A node: the root of a checkout that is built (default: now=the current one).")
-  private Map<String, Path> jars = new LinkedHashMap<>(Map.of("now", Path.of("")));
+  @Mixin private Nodes nodes;
 
   @Option(names = "--rounds", description = "Turns of each (default: ${DEFAULT-VALUE}).")
   private int rounds = 5;
@@ -44,9 +39,6 @@
   @Option(names = "--value", description = "Bytes of a value (default: ${DEFAULT-VALUE}).")
   private int valueBytes = 100;
 
-  @Option(names = "--core", description = "The core they run on (default: ${DEFAULT-VALUE}).")
-  private int core = 1;
-
   private final Map<String, List<Double>> rates = new LinkedHashMap<>();
   private final Map<String, List<Double>> starts = new LinkedHashMap<>();
   private final Map<String, List<Double>> memory = new LinkedHashMap<>();
@@ -56,16 +48,11 @@
 
   @Override
   public Integer call() throws Exception {
-    Path temporary = Files.createTempDirectory("beside-relay");
     try (Servers servers = new Servers(8, valueBytes)) {
       int port = Subject.freePort();
       List<Subject> subjects = new ArrayList<>();
       subjects.add(relay(port, servers));
-      for (var jar : jars.entrySet()) {
-        Path config = temporary.resolve(jar.getKey() + ".json");
-        Files.writeString(config, Subject.config(port, servers));
-        subjects.add(Subject.node(jar.getKey(), jar.getValue(), config));
-      }
+      subjects.addAll(nodes.subjects(port, servers));
       for (int round = 1; round <= rounds; round++) {
         for (Subject subject : subjects) {
           turn(round, subject, port);
@@ -94,7 +81,7 @@
 
   private void turn(int round, Subject subject, int port) throws Exception {
     long began = System.nanoTime();
-    try (Subject.Running running = subject.start(core, port)) {
+    try (Subject.Running running = nodes.start(subject, port)) {
       double started = (System.nanoTime() - began) / 1e6;
       double resident = running.residentMegabytes();
       Load.Result result = Load.run(port, connections, warm, seconds);
--- a/benchmarks/src/main/java/shalepaddle/benchmarks/PastCapacity.java
+++ b/benchmarks/src/main/java/shalepaddle/benchmarks/PastCapacity.java
@@ -1,12 +1,9 @@
 package shalepaddle.benchmarks;
 
 import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.Callable;
 import java.util.function.ToDoubleFunction;
 import org.HdrHistogram.Histogram;
@@ -14,6 +11,7 @@
 import org.knowm.xchart.XYChart;
 import org.knowm.xchart.XYChartBuilder;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Option;
 
 /**
@@ -26,11 +24,7 @@
     description = "Asks nodes several times what they can do, and shows what is served in time.",
     mixinStandardHelpOptions = true)
 final class PastCapacity implements Callable<Integer> {
-  @Option(
-      names = "--jar",
-      paramLabel = "NAME=FOLDER",
-      description = "A node: the root of a checkout that is built (default: now=the current one).")
-  private Map<String, Path> jars = new LinkedHashMap<>(Map.of("now", Path.of("")));
+  @Mixin private Nodes nodes;
 
   @Option(
       names = "--times",
@@ -53,9 +47,6 @@
   @Option(names = "--repeats", description = "Repeats after a refusal (default: ${DEFAULT-VALUE}).")
   private int repeats = 0;
 
-  @Option(names = "--core", description = "The node's core (default: ${DEFAULT-VALUE}).")
-  private int core = 1;
-
   @Option(names = "--picture", paramLabel = "FILE", description = "Draws it, as a PNG.")
   private Path picture;
 
@@ -66,13 +57,10 @@
 
   @Override
   public Integer call() throws Exception {
-    Path temporary = Files.createTempDirectory("past-capacity");
     try (Servers servers = new Servers(8, 100)) {
       int port = Subject.freePort();
-      for (var jar : jars.entrySet()) {
-        Path config = temporary.resolve(jar.getKey() + ".json");
-        Files.writeString(config, Subject.config(port, servers));
-        measure(Subject.node(jar.getKey(), jar.getValue(), config), port);
+      for (Subject subject : nodes.subjects(port, servers)) {
+        measure(subject, port);
       }
     }
     if (picture != null) {
@@ -99,7 +87,7 @@
             .xAxisTitle("asked, as a multiple of what it can do")
             .build();
     chart.getStyler().setYAxisMin(0.0);
-    for (String name : jars.keySet()) {
+    for (String name : nodes.names()) {
       List<Measured> own = measured.stream().filter(m -> m.name().equals(name)).toList();
       chart.addSeries(
           name,
@@ -110,7 +98,7 @@
   }
 
   private void measure(Subject subject, int port) throws Exception {
-    try (Subject.Running running = subject.start(core, port)) {
+    try (Subject.Running running = nodes.start(subject, port)) {
       double able = Load.run(port, 64, warm + 2, 5).perSecond();
       System.out.printf("%-8s can do %.0f/s%n", subject.name(), able);
       double once = Double.NaN;
--- a/cluster/src/main/java/shalepaddle/cluster/GroupMember.java
+++ b/cluster/src/main/java/shalepaddle/cluster/GroupMember.java
@@ -4,7 +4,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
@@ -161,14 +161,12 @@
     askToJoin(listener);
   }
 
-  private void agree(Iterable<String> began, Agreement.Listener listener) {
-    List<String> members = new ArrayList<>();
-    began.forEach(members::add);
+  private void agree(Collection<String> began, Agreement.Listener listener) {
     agreement =
         new Agreement(
             place.group(),
             place.name(),
-            members,
+            began,
             SNAPSHOT_EVERY,
             journal,
             turns,
@@ -179,9 +177,8 @@
   }
 
   private void askToJoin(Agreement.Listener listener) {
-    List<String> others = new ArrayList<>(place.others().keySet());
     CompletableFuture<byte[]> first = new CompletableFuture<>();
-    for (String other : others) {
+    for (String other : place.others().keySet()) {
       links
           .ask(other, JOIN, place.name().getBytes(StandardCharsets.UTF_8), 4 * ASK_MILLIS)
           .thenAccept(first::complete);
@@ -197,7 +194,7 @@
                     askToJoin(listener);
                     return;
                   }
-                  log.accept("member " + place.name() + " has joined, and is caught up");
+                  log.accept("member " + place.name() + " has joined");
                   agree(List.of(new String(began, StandardCharsets.UTF_8).split(" ")), listener);
                   askForVote();
                 }));
--- a/cluster/src/main/java/shalepaddle/cluster/Place.java
+++ b/cluster/src/main/java/shalepaddle/cluster/Place.java
@@ -65,7 +65,7 @@
     return this;
   }
 
-  /** The same as a plain map. */
+  /** Where it finds the others with whom the group began. */
   Map<String, InetSocketAddress> others() {
     Map<String, InetSocketAddress> others = new TreeMap<>(members);
     others.remove(name);
--- a/cluster/src/main/java/shalepaddle/formats/MessageForms.java
+++ b/cluster/src/main/java/shalepaddle/formats/MessageForms.java
@@ -29,31 +29,36 @@
   }
 
   private static void write(RaftMessage message, Values.Writer out) throws IOException {
-    out.put(kind(message))
-        .put((String) message.getGroupId())
-        .put(Endpoint.of(message.getSender()))
-        .put(message.getTerm());
     if (message instanceof AppendEntriesRequest m) {
+      head(1, m, out);
       out.put(m.getPreviousLogTerm()).put(m.getPreviousLogIndex()).put(m.getCommitIndex());
       out.each(m.getLogEntries(), LogForms::entry);
       out.put(m.getQuerySequenceNumber()).put(m.getFlowControlSequenceNumber());
     } else if (message instanceof AppendEntriesSuccessResponse m) {
+      head(2, m, out);
       out.put(m.getLastLogIndex()).put(m.getQuerySequenceNumber());
       out.put(m.getFlowControlSequenceNumber());
     } else if (message instanceof AppendEntriesFailureResponse m) {
+      head(3, m, out);
       out.put(m.getExpectedNextIndex()).put(m.getQuerySequenceNumber());
       out.put(m.getFlowControlSequenceNumber());
     } else if (message instanceof PreVoteRequest m) {
+      head(4, m, out);
       out.put(m.getLastLogTerm()).put(m.getLastLogIndex());
     } else if (message instanceof PreVoteResponse m) {
+      head(5, m, out);
       out.put(m.isGranted());
     } else if (message instanceof VoteRequest m) {
+      head(6, m, out);
       out.put(m.getLastLogTerm()).put(m.getLastLogIndex()).put(m.isSticky());
     } else if (message instanceof VoteResponse m) {
+      head(7, m, out);
       out.put(m.isGranted());
     } else if (message instanceof TriggerLeaderElectionRequest m) {
+      head(8, m, out);
       out.put(m.getLastLogTerm()).put(m.getLastLogIndex());
     } else if (message instanceof InstallSnapshotRequest m) {
+      head(9, m, out);
       out.put(m.isSenderLeader()).put(m.getSnapshotTerm()).put(m.getSnapshotIndex());
       out.put(m.getTotalSnapshotChunkCount());
       SnapshotChunk chunk = m.getSnapshotChunk();
@@ -62,34 +67,20 @@
       LogForms.view(m.getGroupMembersView(), out);
       out.put(m.getQuerySequenceNumber()).put(m.getFlowControlSequenceNumber());
     } else if (message instanceof InstallSnapshotResponse m) {
+      head(10, m, out);
       out.put(m.getSnapshotIndex()).put(m.getRequestedSnapshotChunkIndex());
       out.put(m.getQuerySequenceNumber()).put(m.getFlowControlSequenceNumber());
+    } else {
+      throw new IOException("no form for " + message);
     }
   }
 
-  private static int kind(RaftMessage message) throws IOException {
-    if (message instanceof AppendEntriesRequest) {
-      return 1;
-    } else if (message instanceof AppendEntriesSuccessResponse) {
-      return 2;
-    } else if (message instanceof AppendEntriesFailureResponse) {
-      return 3;
-    } else if (message instanceof PreVoteRequest) {
-      return 4;
-    } else if (message instanceof PreVoteResponse) {
-      return 5;
-    } else if (message instanceof VoteRequest) {
-      return 6;
-    } else if (message instanceof VoteResponse) {
-      return 7;
-    } else if (message instanceof TriggerLeaderElectionRequest) {
-      return 8;
-    } else if (message instanceof InstallSnapshotRequest) {
-      return 9;
-    } else if (message instanceof InstallSnapshotResponse) {
-      return 10;
-    }
-    throw new IOException("no form for " + message);
+  /** What each message begins with; the kind tells what follows. */
+  private static void head(int kind, RaftMessage message, Values.Writer out) throws IOException {
+    out.put(kind)
+        .put((String) message.getGroupId())
+        .put(Endpoint.of(message.getSender()))
+        .put(message.getTerm());
   }
 
   /**
--- a/cluster/src/test/java/shalepaddle/agreement/GroupDay.java
+++ b/cluster/src/test/java/shalepaddle/agreement/GroupDay.java
@@ -12,8 +12,8 @@
 import shalepaddle.promises.Entry;
 import shalepaddle.promises.Promises;
 import shalepaddle.promises.Proposal;
-import shalepaddle.storage.Disk;
-import shalepaddle.storage.MemoryDisk;
+import shalepaddle.storage.CrashingDisk;
+import shalepaddle.storage.UnforcedDisk;
 
 /**
  * A day of a group by a seed: callers who ask for promises and read them, while machines stop,
@@ -59,7 +59,7 @@
     group = new VirtualGroup(random.nextLong());
     group.snapshotEvery = random.nextBoolean() ? 20 : 100;
     if (variant == Variant.NO_FORCE) {
-      group.wrap = Unforced::new;
+      group.wrap = disk -> new UnforcedDisk(disk, true);
     }
   }
 
@@ -192,7 +192,7 @@
       lost.crash();
     }
     if (variant == Variant.OLD_NAME) {
-      lost.disk = new MemoryDisk();
+      lost.disk = new CrashingDisk();
       lost.start();
       return;
     }
@@ -350,80 +350,4 @@
       }
     }
   }
-
-  /** A disk whose force does nothing. */
-  private record Unforced(MemoryDisk disk) implements Disk {
-    @Override
-    public List<String> names() {
-      return disk.names();
-    }
-
-    @Override
-    public byte[] read(String name) {
-      return disk.read(name);
-    }
-
-    @Override
-    public Appender create(String name) throws IOException {
-      Appender made = disk.create(name);
-      // The head is there: a folder that is empty is a fresh one, and found out.
-      return new Lazy(made, true);
-    }
-
-    @Override
-    public Appender append(String name, long after) {
-      return new Lazy(disk.append(name, after), false);
-    }
-
-    @Override
-    public void rename(String from, String to) {
-      disk.rename(from, to);
-    }
-
-    @Override
-    public void delete(String name) {
-      disk.delete(name);
-    }
-
-    @Override
-    public void forceNames() {
-      disk.forceNames();
-    }
-
-    @Override
-    public String place() {
-      return disk.place();
-    }
-
-    @Override
-    public void close() {}
-
-    private static final class Lazy implements Appender {
-      private final Appender file;
-      private boolean forcesOnce;
-
-      Lazy(Appender file, boolean forcesOnce) {
-        this.file = file;
-        this.forcesOnce = forcesOnce;
-      }
-
-      @Override
-      public void write(byte[] bytes) throws IOException {
-        file.write(bytes);
-      }
-
-      @Override
-      public void force() throws IOException {
-        if (forcesOnce) {
-          file.force();
-          forcesOnce = false;
-        }
-      }
-
-      @Override
-      public void close() throws IOException {
-        file.close();
-      }
-    }
-  }
 }
--- a/cluster/src/test/java/shalepaddle/agreement/VirtualGroup.java
+++ b/cluster/src/test/java/shalepaddle/agreement/VirtualGroup.java
@@ -12,13 +12,14 @@
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.function.UnaryOperator;
 import shalepaddle.formats.MessageForms;
 import shalepaddle.promises.Answer;
 import shalepaddle.promises.Promises;
 import shalepaddle.promises.Proposal;
+import shalepaddle.storage.CrashingDisk;
 import shalepaddle.storage.Disk;
 import shalepaddle.storage.Journal;
-import shalepaddle.storage.MemoryDisk;
 
 /**
  * Members of a group in virtual time, in one thread: messages go as bytes over links that lose,
@@ -35,14 +36,12 @@
   final class Machine implements Turns, Agreement.Listener {
     final String name;
     final List<String> first;
-    MemoryDisk disk = new MemoryDisk();
+    CrashingDisk disk = new CrashingDisk();
     Agreement agreement;
     Journal journal;
     int life;
     long heldUntil;
     long appliedTo;
-    Promises.Image restored;
-    final Promises promises = new Promises();
 
     Machine(String name, List<String> first) {
       this.name = name;
@@ -151,7 +150,7 @@
   int snapshotEvery = 50;
 
   /** What is put before each machine's disk. */
-  java.util.function.Function<MemoryDisk, Disk> wrap = disk -> disk;
+  UnaryOperator<Disk> wrap = disk -> disk;
 
   VirtualGroup(long seed) {
     random = new SplittableRandom(seed);
--- a/cluster/src/test/java/shalepaddle/storage/CrashingDisk.java
+++ b/cluster/src/test/java/shalepaddle/storage/CrashingDisk.java
@@ -12,7 +12,7 @@
  * after it: of each file what was forced, and any beginning of what was written since; of names
  * what was forced, and any first few of the changes since.
  */
-final class CrashingDisk implements Disk {
+public final class CrashingDisk implements Disk {
   /** The machine stops here. */
   static final class Crash extends RuntimeException {
     private static final long serialVersionUID = 1;
@@ -35,6 +35,11 @@
   private int failAt = -1;
   private int forces;
 
+  /** One that never stops by itself. */
+  public CrashingDisk() {
+    this(Integer.MAX_VALUE);
+  }
+
   /** One that stops after so many steps. */
   CrashingDisk(int steps) {
     stepsLeft = steps;
@@ -46,11 +51,6 @@
     }
   }
 
-  /** Steps that were not taken. */
-  int stepsLeft() {
-    return stepsLeft;
-  }
-
   /** The force of this number fails, as may all that come after it. */
   CrashingDisk failingForce(int number) {
     failAt = number;
@@ -71,7 +71,7 @@
   CrashingDisk found(int changes, double part) {
     Map<String, Bytes> left = new LinkedHashMap<>(forced);
     pending.subList(0, changes).forEach(change -> change.make(left));
-    CrashingDisk found = new CrashingDisk(Integer.MAX_VALUE);
+    CrashingDisk found = new CrashingDisk();
     left.forEach(
         (name, bytes) -> {
           Bytes kept = new Bytes();
@@ -84,6 +84,11 @@
     return found;
   }
 
+  /** A disk as it may be found after a crash, by a number from 0 to 1 that is drawn. */
+  public CrashingDisk found(double drawn) {
+    return found((int) Math.round(drawn * 1000) % (pendingNames() + 1), drawn);
+  }
+
   /** Changes of names that may be lost. */
   int pendingNames() {
     return pending.size();
--- a/cluster/src/test/java/shalepaddle/storage/JournalTest.java
+++ b/cluster/src/test/java/shalepaddle/storage/JournalTest.java
@@ -222,70 +222,12 @@
   void aDiskThatForcesNothingIsFoundOut() throws Exception {
     CrashingDisk disk = new CrashingDisk(ALL);
     Life life = new Life();
-    life.live(new Journal(new Unforced(disk), "g", "a"));
+    life.live(new Journal(new UnforcedDisk(disk, false), "g", "a"));
     // The names alone came through.
     CrashingDisk found = disk.found(disk.pendingNames(), 0);
     assertThrows(DamagedException.class, () -> new Journal(found, "g", "a"));
   }
 
-  private record Unforced(CrashingDisk disk) implements Disk {
-    @Override
-    public List<String> names() {
-      return disk.names();
-    }
-
-    @Override
-    public byte[] read(String name) {
-      return disk.read(name);
-    }
-
-    @Override
-    public Appender create(String name) {
-      return unforced(disk.create(name));
-    }
-
-    @Override
-    public Appender append(String name, long after) {
-      return unforced(disk.append(name, after));
-    }
-
-    private static Appender unforced(Appender file) {
-      return new Appender() {
-        @Override
-        public void write(byte[] bytes) throws IOException {
-          file.write(bytes);
-        }
-
-        @Override
-        public void force() {}
-
-        @Override
-        public void close() {}
-      };
-    }
-
-    @Override
-    public void rename(String from, String to) {
-      disk.rename(from, to);
-    }
-
-    @Override
-    public void delete(String name) {
-      disk.delete(name);
-    }
-
-    @Override
-    public void forceNames() {}
-
-    @Override
-    public String place() {
-      return "disk";
-    }
-
-    @Override
-    public void close() {}
-  }
-
   @Test
   void anyDamagedByteIsFoundOutOrCutsTheEndAndIsTold() throws Exception {
     CrashingDisk disk = new CrashingDisk(ALL);
--- /dev/null
+++ b/cluster/src/test/java/shalepaddle/storage/UnforcedDisk.java
@@ -0,0 +1,87 @@
+package shalepaddle.storage;
+
+import java.io.IOException;
+import java.util.List;
+
+/**
+ * A disk that says to have forced what it has not: what a test of promises has to find out.
+ *
+ * @param begins whether what each file begins with is there all the same, and its name: a folder
+ *     that is empty is a fresh one, and found out as such
+ */
+public record UnforcedDisk(Disk disk, boolean begins) implements Disk {
+  @Override
+  public List<String> names() throws IOException {
+    return disk.names();
+  }
+
+  @Override
+  public byte[] read(String name) throws IOException {
+    return disk.read(name);
+  }
+
+  @Override
+  public Appender create(String name) throws IOException {
+    return new Unforced(disk.create(name), begins);
+  }
+
+  @Override
+  public Appender append(String name, long after) throws IOException {
+    return new Unforced(disk.append(name, after), false);
+  }
+
+  @Override
+  public void rename(String from, String to) throws IOException {
+    disk.rename(from, to);
+  }
+
+  @Override
+  public void delete(String name) throws IOException {
+    disk.delete(name);
+  }
+
+  @Override
+  public void forceNames() throws IOException {
+    if (begins) {
+      disk.forceNames();
+    }
+  }
+
+  @Override
+  public String place() {
+    return disk.place();
+  }
+
+  @Override
+  public void close() throws IOException {
+    disk.close();
+  }
+
+  private static final class Unforced implements Appender {
+    private final Appender file;
+    private boolean forcesOnce;
+
+    Unforced(Appender file, boolean forcesOnce) {
+      this.file = file;
+      this.forcesOnce = forcesOnce;
+    }
+
+    @Override
+    public void write(byte[] bytes) throws IOException {
+      file.write(bytes);
+    }
+
+    @Override
+    public void force() throws IOException {
+      if (forcesOnce) {
+        file.force();
+        forcesOnce = false;
+      }
+    }
+
+    @Override
+    public void close() throws IOException {
+      file.close();
+    }
+  }
+}
