Read lists however they are laid out, and ask anew before a silent watch binds

Cause, by tests over loopback that fail on the code before: lists were split at line feeds, so that one that comes indented was malformed on every call (DiscoveryClient.take); an open watch that fell silent was asked anew after 4.8 to 5.0 s, with a back-off and a call that waits its turn still to come, where what it misses binds after 6 s; an agent that did not answer, since discovery was down, was waited for as long, though what it gets at the return binds at once; a list without an end was waited for as long as blank lines came; an entry named twice was taken; an older list brought back a server that was known to leave.

Change: Netty's JsonObjectDecoder splits the stream. An open watch, and a call that waits its turn, may say nothing for 3.25 s, an agent's answer and a list's end are awaited for 1 and 3.25 s, by the clock after what came is read. A list that names an entry twice is not taken. From an older list nobody comes back who is known to leave, unless started since.

One check was wrong: PauseTest had a discovery that said nothing for 5 s, 3 of them in a pause, kept. What it misses binds all the same, and the kernel listens in a pause: the discovery in that test now goes on saying its blank lines, and another that says none is asked anew.

--- a/engine/src/main/java/shalepaddle/membership/DiscoveryClient.java
+++ b/engine/src/main/java/shalepaddle/membership/DiscoveryClient.java
@@ -18,6 +18,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.json.JsonObjectDecoder;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
@@ -35,15 +36,23 @@
 
   /**
    * How long discovery may say nothing: a watch sends at least an empty line every 2 s, and a call
-   * waits in turn for about as long.
+   * waits in turn for about as long. What a silent watch misses binds the node 6 s after the
+   * silence began: a pause after the failure and another call that waits in turn fit into that.
    */
-  private static final long MAX_SILENCE_MILLIS = 4500;
+  private static final long MAX_SILENCE_MILLIS = 3250;
+
+  /**
+   * How long an agent on the node's own machine may take to answer a call: it answers at once, or
+   * is silent since discovery is down. What it gets at the return binds the node from then on, so
+   * that a call made shortly before must not be waited for.
+   */
+  private static final long AGENT_MILLIS = 1000;
 
   private static final long CONNECT_TIMEOUT_MILLIS = 2000;
   private static final long RETRY_MILLIS = 500;
 
-  /** Longest line, for thousands of servers. */
-  private static final int MAX_LINE = 4 << 20;
+  /** Longest list, for thousands of servers. */
+  private static final int MAX_LIST = 4 << 20;
 
   private final Bootstrap bootstrap;
   private final EventLoop loop;
@@ -110,29 +119,35 @@
     }
   }
 
-  private void failed(Call call, String why) {
+  /** A call is over; where lists are pushed another is made, after the pause. */
+  private void failed(Call call, String why, long pauseMillis) {
     if (call == watch) {
       watch = null;
     }
-    if (asked) {
-      listener.listFailed(why);
-    } else {
+    listener.listFailed(why);
+    if (!asked) {
       loop.schedule(
           () -> {
             if (watch == null && !stopped) {
               follow();
             }
           },
-          RETRY_MILLIS,
+          pauseMillis,
           TimeUnit.MILLISECONDS);
     }
   }
 
-  /** One call and its answer. */
+  /** One call and its answer: a stream of JSON objects, however they are laid out in lines. */
   private final class Call extends SimpleChannelInboundHandler<HttpObject> {
-    private final ByteBuf line = Unpooled.buffer();
+    private final Lists lists = new Lists();
     private final Channel channel;
-    private long heardAt = clock.listened();
+
+    /** When anything came last. Not {@link LoopClock#listened}: the kernel listens in a pause. */
+    private long heardAt = clock.now();
+
+    /** Whether the answer has begun: what follows is a watch. */
+    private boolean answered;
+
     private boolean over;
 
     Call() {
@@ -143,12 +158,13 @@
                   new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel ch) {
-                      ch.pipeline().addLast(new HttpClientCodec(), Call.this);
+                      ch.pipeline()
+                          .addLast(new HttpClientCodec(), Call.this, lists, new ListReader());
                     }
                   });
       var connected = connector.connect(address);
       channel = connected.channel();
-      timers.limit(connected, CONNECT_TIMEOUT_MILLIS * 1_000_000);
+      timers.limit(connected, (asked ? CONNECT_TIMEOUT_MILLIS : AGENT_MILLIS) * 1_000_000);
       connected.addListener(
           done -> {
             if (done.isSuccess()) {
@@ -157,7 +173,7 @@
               fail("no connection");
             }
           });
-      listen();
+      watchOver();
     }
 
     private void ask() {
@@ -173,76 +189,63 @@
       channel.writeAndFlush(request);
     }
 
+    /** How long nothing may come from now on. */
+    private long patience() {
+      return (answered || asked ? MAX_SILENCE_MILLIS : AGENT_MILLIS) * 1_000_000;
+    }
+
     /**
-     * Guards against discovery falling silent, where its connections stay open. Time in which this
-     * node did not listen is not held against it.
+     * Guards against discovery falling silent, where its connections stay open, and against a list
+     * that begins and does not end. A pause of this node is no excuse: what came in it has been
+     * read by the time that a timer runs, and what it missed binds it all the same.
      */
-    private void listen() {
-      timers.afterListening(
-          MAX_SILENCE_MILLIS / 8 * 1_000_000,
+    private void watchOver() {
+      timers.after(
+          Math.max(1, since() + patience() - clock.now()),
           () -> {
-            long silent = (clock.listened() - heardAt) / 1_000_000;
             if (over) {
               return;
             }
-            if (silent >= MAX_SILENCE_MILLIS) {
-              fail("silent");
+            if (clock.now() - since() >= patience()) {
+              fail(lists.midway() ? "a list that does not end" : "silent", 0);
             } else {
-              listen();
+              watchOver();
             }
           });
     }
 
+    private long since() {
+      return lists.midway() ? lists.begunAt : heardAt;
+    }
+
     @Override
-    protected void channelRead0(ChannelHandlerContext ctx, HttpObject message)
-        throws FormatException {
+    protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
       if (over) {
         return;
       }
       clock.look();
-      heardAt = clock.listened();
+      heardAt = clock.now();
       if (message.decoderResult().isFailure()) {
         fail("malformed answer");
         return;
       }
-      if (message instanceof HttpResponse response
-          && !response.status().equals(HttpResponseStatus.OK)) {
-        fail("answered " + response.status().code());
-        return;
+      if (message instanceof HttpResponse response) {
+        answered = true;
+        if (!response.status().equals(HttpResponseStatus.OK)) {
+          fail("answered " + response.status().code());
+          return;
+        }
       }
       if (message instanceof HttpContent content) {
-        take(content.content());
+        if (content.content().isReadable()) {
+          ctx.fireChannelRead(content.content().retain());
+        }
         if (message instanceof LastHttpContent && !over) {
           fail("watch ended");
         }
       }
     }
 
-    private void take(ByteBuf bytes) throws FormatException {
-      line.writeBytes(bytes);
-      while (!over) {
-        int length = line.bytesBefore((byte) '\n');
-        if (length < 0) {
-          break;
-        }
-        list(line.readSlice(length));
-        line.skipBytes(1);
-      }
-      line.discardReadBytes();
-      if (line.readableBytes() > MAX_LINE) {
-        throw new FormatException("line too long");
-      }
-    }
-
-    private void list(ByteBuf text) throws FormatException {
-      String json = text.toString(StandardCharsets.UTF_8);
-      if (!json.isBlank()) {
-        MemberList list = MemberList.parse(JsonObject.parse(json));
-        version = list.version();
-        listener.list(list);
-      }
-    }
-
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
       fail("connection ended");
@@ -253,10 +256,59 @@
       fail(cause.getMessage());
     }
 
+    /** Splits what comes into objects. */
+    private final class Lists extends JsonObjectDecoder {
+      private long begunAt;
+      private boolean midway;
+
+      Lists() {
+        super(MAX_LIST);
+      }
+
+      boolean midway() {
+        return midway;
+      }
+
+      @Override
+      public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
+        super.channelRead(ctx, message);
+        boolean left = actualReadableBytes() > 0;
+        if (left && !midway) {
+          // Set back where another has ended within the same bytes.
+          begunAt = heardAt;
+        }
+        midway = left;
+      }
+    }
+
+    /** Takes one object after the other. */
+    private final class ListReader extends SimpleChannelInboundHandler<ByteBuf> {
+      @Override
+      protected void channelRead0(ChannelHandlerContext ctx, ByteBuf text) throws FormatException {
+        if (over) {
+          return;
+        }
+        MemberList list = MemberList.parse(JsonObject.parse(text.toString(StandardCharsets.UTF_8)));
+        list.requireDistinct();
+        lists.midway = false;
+        version = list.full() ? list.version() : Math.max(version, list.version());
+        listener.list(list);
+      }
+
+      @Override
+      public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        Call.this.exceptionCaught(ctx, cause);
+      }
+    }
+
     private void fail(String why) {
+      fail(why, RETRY_MILLIS);
+    }
+
+    private void fail(String why, long pauseMillis) {
       if (!over) {
         end();
-        failed(this, why);
+        failed(this, why, pauseMillis);
       }
     }
 
--- a/engine/src/main/java/shalepaddle/membership/MemberList.java
+++ b/engine/src/main/java/shalepaddle/membership/MemberList.java
@@ -7,8 +7,11 @@
 import java.net.UnknownHostException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.UUID;
 import shalepaddle.model.MembershipUpdate;
@@ -53,6 +56,45 @@
     return new MemberList(true, version, List.copyOf(whole.values()));
   }
 
+  /** Rejects a list that says two things of one server. */
+  public void requireDistinct() throws FormatException {
+    Set<Long> seen = new HashSet<>();
+    for (Member member : members) {
+      if (!seen.add(member.entry().id())) {
+        throw new FormatException("the list names an entry twice");
+      }
+    }
+  }
+
+  /**
+   * This list, whose version may be older than that of what is known: then nobody comes back who is
+   * known to leave, unless started anew. An older list is taken otherwise, since discovery may have
+   * been put back to an older state; from a replica that lags it may do no harm.
+   *
+   * @param known the whole list as it is known, null for none
+   */
+  public MemberList after(MemberList known) {
+    if (known == null || version >= known.version) {
+      return this;
+    }
+    Map<Long, Member> leaving = new HashMap<>();
+    for (Member member : known.members) {
+      if (member.entry().state() == ServerEntry.State.DRAINING) {
+        leaving.put(member.entry().id(), member);
+      }
+    }
+    List<Member> kept = new ArrayList<>();
+    for (Member member : members) {
+      Member gone = leaving.get(member.entry().id());
+      boolean again =
+          gone != null
+              && member.entry().state() == ServerEntry.State.READY
+              && member.entry().startedAt() <= gone.entry().startedAt();
+      kept.add(again ? gone : member);
+    }
+    return new MemberList(full, version, List.copyOf(kept));
+  }
+
   /** What the decision module is told of it. */
   public MembershipUpdate update(MembershipUpdate.Kind kind) {
     return new MembershipUpdate(kind, version, members.stream().map(Member::entry).toList());
--- a/engine/src/main/java/shalepaddle/node/LoadBalancer.java
+++ b/engine/src/main/java/shalepaddle/node/LoadBalancer.java
@@ -273,7 +273,8 @@
     }
   }
 
-  private void take(MemberList list, MembershipUpdate.Kind kind) {
+  private void take(MemberList news, MembershipUpdate.Kind kind) {
+    MemberList list = news.after(whole);
     whole = list.whole(whole);
     pools.update(list, time.now());
     dispatcher.membership(list.update(kind));
--- a/engine/src/test/java/shalepaddle/node/DiscoveryTest.java
+++ b/engine/src/test/java/shalepaddle/node/DiscoveryTest.java
@@ -1,6 +1,7 @@
 package shalepaddle.node;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
@@ -10,6 +11,8 @@
 import java.nio.file.Path;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import shalepaddle.settings.JsonObject;
 import shalepaddle.testkit.ScriptedPeer;
 
@@ -171,4 +174,143 @@
       assertTrue(second.line().contains("Oa3 "));
     }
   }
+
+  private static String server(int port, String state) {
+    return NodeRig.member("s-" + port, port, state);
+  }
+
+  private static String list(int version, String... servers) {
+    return "{\"version\":%d,\"full\":true,\"servers\":[%s]}"
+        .formatted(version, String.join(",", servers));
+  }
+
+  @Test
+  void readsListsThatAreIndentedAndCutAnywhere() throws Exception {
+    try (NodeRig rig = new NodeRig();
+        ServerSocket second = NodeRig.listen()) {
+      ScriptedPeer discovery = rig.acceptDiscovery();
+      call(discovery);
+      String indented =
+          list(8, server(second.getLocalPort(), "active"))
+              .replace("{", "{\n  ")
+              .replace(",\"", ",\r\n\t\"")
+              .replace("]", "\n]");
+      discovery.write(HEAD);
+      for (char c : indented.toCharArray()) {
+        discovery.write(NodeRig.chunk(String.valueOf(c)));
+      }
+      serveOne(rig, second, "indented");
+      // Two in one piece with blank lines between, and the beginning of a third.
+      String third = list(11, server(second.getLocalPort(), "active"));
+      discovery.write(
+          NodeRig.chunk(
+              "\n\n"
+                  + list(9, server(second.getLocalPort(), "active"))
+                  + "\n\n  \n"
+                  + list(10, server(rig.cache.getLocalPort(), "active"))
+                  + third.substring(0, 20)));
+      serveOne(rig, rig.cache, "several");
+      discovery.write(NodeRig.chunk(third.substring(20)));
+      serveOne(rig, second, "rest");
+      discovery.close();
+      assertEquals(WATCH.formatted(11), call(rig.acceptDiscovery()));
+    }
+  }
+
+  /** Discovery that says nothing until it is asked anew; after how many milliseconds that is. */
+  private static long millisToNextCall(NodeRig rig, ScriptedPeer discovery, String last)
+      throws Exception {
+    discovery.write(last);
+    long since = System.nanoTime();
+    call(rig.acceptDiscovery());
+    return (System.nanoTime() - since) / 1_000_000;
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"ask", "push"})
+  void aWatchThatFallsSilentIsOpenedAnewWellBeforeWhatItMissesBinds(String mode) throws Exception {
+    try (NodeRig rig = new NodeRig(",\"discovery\":\"" + mode + "\"")) {
+      ScriptedPeer discovery = rig.acceptDiscovery();
+      call(discovery);
+      long millis = millisToNextCall(rig, discovery, HEAD + NodeRig.chunk("\n"));
+      // Bound after 6 s, of which a call that waits in turn may take 2.
+      assertTrue(millis > 2500 && millis < 3950, "asked anew after " + millis + " ms");
+    }
+  }
+
+  @Test
+  void aListThatDoesNotEndIsGivenUpThoughTheWatchGoesOn() throws Exception {
+    try (NodeRig rig = new NodeRig()) {
+      ScriptedPeer discovery = rig.acceptDiscovery();
+      call(discovery);
+      discovery.write(HEAD + NodeRig.chunk("{\"version\":8,"));
+      long since = System.nanoTime();
+      for (int i = 0; i < 5; i++) {
+        if (rig.hasAnotherDiscoveryCall(800)) {
+          assertTrue(System.nanoTime() - since < 3_950_000_000L);
+          return;
+        }
+        discovery.write(NodeRig.chunk("\n"));
+      }
+      throw new AssertionError("it goes on waiting for the end");
+    }
+  }
+
+  /** What an agent gets at the return of discovery binds at once. */
+  @Test
+  void anAgentThatDoesNotAnswerIsAskedAnewWithinTheGrace() throws Exception {
+    try (NodeRig rig = new NodeRig(",\"discovery\":\"push\"")) {
+      ScriptedPeer discovery = rig.acceptDiscovery();
+      call(discovery);
+      long millis = millisToNextCall(rig, discovery, "");
+      assertTrue(millis < 1500, "asked anew after " + millis + " ms");
+    }
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"ask", "push"})
+  void aListThatNamesAnEntryTwiceLeavesTheOldOneInForce(String mode) throws Exception {
+    try (NodeRig rig = new NodeRig(",\"discovery\":\"" + mode + "\"")) {
+      ScriptedPeer discovery = rig.acceptDiscovery();
+      call(discovery);
+      int port = rig.cache.getLocalPort();
+      discovery.write(
+          HEAD + NodeRig.chunk(list(8, server(port, "active"), server(port, "leaving"))));
+      assertEquals(WATCH.formatted(7), call(rig.acceptDiscovery()));
+      serveOne(rig, rig.cache, "kept");
+    }
+  }
+
+  @Test
+  void anOlderListBringsNobodyBackWhoIsKnownToLeave() throws Exception {
+    try (NodeRig rig = new NodeRig();
+        ServerSocket other = NodeRig.listen()) {
+      int leaving = rig.cache.getLocalPort();
+      ScriptedPeer discovery = rig.acceptDiscovery();
+      call(discovery);
+      discovery.write(
+          HEAD
+              + NodeRig.chunk(
+                  list(9, server(leaving, "leaving"), server(other.getLocalPort(), "active"))));
+      serveOne(rig, other, "drained");
+      discovery.close();
+      ScriptedPeer second = rig.acceptDiscovery();
+      assertEquals(WATCH.formatted(9), call(second));
+      second.write(HEAD + NodeRig.chunk(list(8, server(leaving, "active"))));
+      second.close();
+      ScriptedPeer third = rig.acceptDiscovery();
+      assertEquals(WATCH.formatted(8), call(third), "it was taken");
+      ScriptedPeer client = rig.client();
+      client.write(NodeRig.get("late", 200));
+      assertTrue(client.line().startsWith("SERVER_ERROR"));
+      rig.cache.setSoTimeout(20);
+      assertThrows(java.net.SocketTimeoutException.class, rig.cache::accept);
+      // A server that has started since is back, however old the list.
+      third.write(
+          HEAD
+              + NodeRig.chunk(
+                  list(7, server(leaving, "active").replace("started_ms\":0", "started_ms\":9"))));
+      serveOne(rig, rig.cache, "again");
+    }
+  }
 }
--- a/engine/src/test/java/shalepaddle/node/PauseTest.java
+++ b/engine/src/test/java/shalepaddle/node/PauseTest.java
@@ -195,7 +195,11 @@
     Thread.sleep(2000);
     rig.pausedWhile(
         () -> {
-          Thread.sleep(millis);
+          // It goes on as ever, and the kernel receives for the node.
+          for (int left = millis; left > 0; left -= 1000) {
+            Thread.sleep(Math.min(left, 1000));
+            watch.write("1\r\n\n\r\n");
+          }
         });
     rig.settled();
     String list = NodeRig.members(8, false, rig.cache.getLocalPort()) + "\n";
@@ -204,4 +208,18 @@
     watch.write("1\r\n\n\r\n");
     assertFalse(rig.hasAnotherDiscoveryCall(300), "the watch was given up");
   }
+
+  /** What a watch misses binds the node by the wall, also where the node stood still for a part. */
+  @Test
+  void discoveryThatSaidNothingInAPauseIsAskedAnewAsSoonAsWithoutOne() throws Exception {
+    ScriptedPeer watch = rig.acceptDiscovery();
+    String line = watch.line();
+    while (!line.isEmpty()) {
+      line = watch.line();
+    }
+    watch.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n");
+    rig.settled();
+    rig.pausedWhile(() -> Thread.sleep(3300));
+    assertTrue(rig.hasAnotherDiscoveryCall(1000), "the silent watch was kept");
+  }
 }
