--- a/cli/src/main/java/shalepaddle/cli/DayCommand.java
+++ b/cli/src/main/java/shalepaddle/cli/DayCommand.java
@@ -45,6 +45,11 @@
       description = "Let like reads share an answer; few keys are asked for then.")
   private boolean joining;
 
+  @Option(
+      names = "--crossing",
+      description = "Several things go wrong at almost the same moment, in ever other deployments.")
+  private boolean crossing;
+
   @Option(names = "--all", description = "Print a line for each day, also for those that are good.")
   private boolean all;
 
@@ -92,7 +97,10 @@
       for (long i = 1; i <= days; i++) {
         // A few ahead of those that are played: a range may be long.
         for (; next <= seeds.to() && next - seeds.from() < i + 2L * threads; next++) {
-          DayPlan drawn = DayPlan.of(next, seconds * 1000L);
+          DayPlan drawn =
+              crossing
+                  ? DayPlan.crossing(next, seconds * 1000L)
+                  : DayPlan.of(next, seconds * 1000L);
           DayPlan plan = joining ? drawn.joined() : drawn;
           played.submit(() -> SimulatedDay.play(plan));
         }
--- a/days/src/main/java/shalepaddle/days/DayPlan.java
+++ b/days/src/main/java/shalepaddle/days/DayPlan.java
@@ -23,6 +23,7 @@
  * @param millis how long clients ask
  * @param troubles what goes wrong, in the order of time
  * @param joining whether like reads share an answer; then few keys are asked for, so that many do
+ * @param world what else a deployment may be like
  */
 public record DayPlan(
     long seed,
@@ -38,7 +39,57 @@
     long lagMillis,
     long millis,
     List<Trouble> troubles,
-    boolean joining) {
+    boolean joining,
+    World world) {
+
+  /**
+   * What else a deployment may be like.
+   *
+   * @param cancel whether attempts may be called off
+   * @param lateShare the part of connections to servers and discovery that comes up late
+   * @param lateMillis how late that is
+   * @param indented whether lists come over many lines, in pieces cut anywhere
+   * @param hurry how many times shorter deadlines and aims are
+   */
+  public record World(
+      boolean cancel, double lateShare, long lateMillis, boolean indented, int hurry) {
+    /** As days are drawn without anything else said. */
+    public static final World USUAL = new World(true, 0, 0, false, 1);
+  }
+
+  /** A day in the usual world. */
+  public DayPlan(
+      long seed,
+      int servers,
+      int nodes,
+      boolean asksForList,
+      int maxAttempts,
+      boolean parallel,
+      int perConnection,
+      double ratePerSecond,
+      double skew,
+      double goneShare,
+      long lagMillis,
+      long millis,
+      List<Trouble> troubles,
+      boolean joining) {
+    this(
+        seed,
+        servers,
+        nodes,
+        asksForList,
+        maxAttempts,
+        parallel,
+        perConnection,
+        ratePerSecond,
+        skew,
+        goneShare,
+        lagMillis,
+        millis,
+        troubles,
+        joining,
+        World.USUAL);
+  }
 
   /** A kind of trouble. */
   public enum Kind {
@@ -73,9 +124,33 @@
     /** A server reads slowly. */
     SLOW_READER,
     /** Clients come that break the protocol. */
-    RUDE
+    RUDE,
+    /** The watches that are open fall silent for good. */
+    MUTE_WATCHES,
+    /** All load balancers take their configuration anew. */
+    RETUNE
   }
 
+  /** The kinds that {@link #of} draws from: its days stay what they were. */
+  private static final List<Kind> USUAL_KINDS =
+      List.of(Kind.values()).subList(0, Kind.RUDE.ordinal() + 1);
+
+  /** The kinds that {@link #crossing} brings together. */
+  private static final List<Kind> CROSSING_KINDS =
+      List.of(
+          Kind.REPLACE,
+          Kind.RESTART,
+          Kind.CLOSE_IDLE,
+          Kind.RESET,
+          Kind.NODE_PAUSE,
+          Kind.SILENT,
+          Kind.KILL,
+          Kind.SLOW_READER,
+          Kind.DISCOVERY_DOWN,
+          Kind.MUTE_WATCHES,
+          Kind.RETUNE,
+          Kind.RUDE);
+
   /**
    * Something that goes wrong.
    *
@@ -97,16 +172,10 @@
     List<Trouble> troubles = new ArrayList<>();
     int count = 2 + random.nextInt(7);
     for (int i = 0; i < count; i++) {
-      Kind kind = Kind.values()[random.nextInt(Kind.values().length)];
+      Kind kind = USUAL_KINDS.get(random.nextInt(USUAL_KINDS.size()));
       Fault fault = Fault.values()[random.nextInt(Fault.values().length)];
-      troubles.add(
-          new Trouble(
-              millis / 10 + random.nextLong(millis * 7 / 10),
-              kind,
-              random.nextInt(kind == Kind.NODE_PAUSE || kind == Kind.RESTART ? nodes : servers),
-              kind == Kind.NODE_PAUSE ? 40 + random.nextInt(1200) : 500 + random.nextInt(6000),
-              strength(kind, random),
-              kind == Kind.FAULT || kind == Kind.FAULT_EVERYWHERE ? fault : null));
+      long at = millis / 10 + random.nextLong(millis * 7 / 10);
+      troubles.add(trouble(at, kind, nodes, servers, fault, random));
     }
     troubles.sort(Comparator.comparingLong(Trouble::atMillis));
     boolean parallel = random.nextBoolean();
@@ -127,6 +196,58 @@
         false);
   }
 
+  private static Trouble trouble(
+      long at, Kind kind, int nodes, int servers, Fault fault, SplittableRandom random) {
+    return new Trouble(
+        at,
+        kind,
+        random.nextInt(kind == Kind.NODE_PAUSE || kind == Kind.RESTART ? nodes : servers),
+        kind == Kind.NODE_PAUSE ? 40 + random.nextInt(1200) : 500 + random.nextInt(6000),
+        strength(kind, random),
+        kind == Kind.FAULT || kind == Kind.FAULT_EVERYWHERE ? fault : null);
+  }
+
+  /**
+   * The day of this seed, and on it several things at almost the same moment, in another world:
+   * each order of any two of them comes up on some seed. Many clients leave before their answers.
+   */
+  public static DayPlan crossing(long seed, long millis) {
+    DayPlan usual = of(seed, millis);
+    SplittableRandom random = new SplittableRandom(~seed);
+    List<Trouble> troubles = new ArrayList<>(usual.troubles);
+    long moment = millis / 10 + random.nextLong(millis * 5 / 10);
+    int together = 2 + random.nextInt(4);
+    for (int i = 0; i < together; i++) {
+      Kind kind = CROSSING_KINDS.get(random.nextInt(CROSSING_KINDS.size()));
+      long at = moment + random.nextLong(400);
+      troubles.add(trouble(at, kind, usual.nodes, usual.servers, null, random));
+    }
+    troubles.sort(Comparator.comparingLong(Trouble::atMillis));
+    World world =
+        new World(
+            random.nextBoolean(),
+            random.nextBoolean() ? 0.5 * random.nextDouble() : 0,
+            50 + random.nextInt(900),
+            random.nextBoolean(),
+            1 + random.nextInt(8));
+    return new DayPlan(
+        seed,
+        usual.servers,
+        usual.nodes,
+        usual.asksForList,
+        usual.maxAttempts,
+        usual.parallel,
+        usual.perConnection,
+        usual.ratePerSecond,
+        usual.skew,
+        0.05 + 0.25 * random.nextDouble(),
+        usual.lagMillis,
+        millis,
+        List.copyOf(troubles),
+        false,
+        world);
+  }
+
   /** The same day with load balancers that let like reads share an answer. */
   public DayPlan joined() {
     return new DayPlan(
@@ -143,7 +264,8 @@
         lagMillis,
         millis,
         troubles,
-        true);
+        true,
+        world);
   }
 
   private static double strength(Kind kind, SplittableRandom random) {
--- a/days/src/main/java/shalepaddle/days/SimulatedDay.java
+++ b/days/src/main/java/shalepaddle/days/SimulatedDay.java
@@ -16,6 +16,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import shalepaddle.config.NodeConfig;
@@ -57,11 +58,8 @@
   /** New connections go on coming for so long after a planned restart has begun. */
   private static final int NEW_CONNECTIONS_MILLIS = 300;
 
-  /**
-   * How long past its time a drained load balancer may wait for clients that owe it a command:
-   * those that came last and say nothing are let go after 2.1 s, and have lost nothing.
-   */
-  private static final int LINGER_MILLIS = 2000;
+  /** How long past its time a drained load balancer may wait for clients that are to leave. */
+  private static final int LINGER_MILLIS = 400;
 
   private static final int KEYS = 2000;
   private static final int JOINED_KEYS = 40;
@@ -77,11 +75,12 @@
 
   private static final long EPOCH_MILLIS = 1_767_225_600_000L;
 
-  private static final List<Traffic.RequestClass> CLASSES =
-      List.of(
-          new Traffic.RequestClass("read", 0.85, false, false, DEADLINE_MILLIS, 0),
-          new Traffic.RequestClass("put", 0.1, true, false, 1000, 20),
-          new Traffic.RequestClass("note", 0.05, true, true, 1500, 3000));
+  private static List<Traffic.RequestClass> classes(int hurry) {
+    return List.of(
+        new Traffic.RequestClass("read", 0.85, false, false, DEADLINE_MILLIS / hurry, 0),
+        new Traffic.RequestClass("put", 0.1, true, false, 1000 / hurry, 20),
+        new Traffic.RequestClass("note", 0.05, true, true, 1500 / hurry, 3000));
+  }
 
   private final DayPlan plan;
   private final Tampering tampering;
@@ -93,6 +92,7 @@
   private final List<Instance> instances = new ArrayList<>();
   private final Map<String, String> zones = new LinkedHashMap<>();
   private final List<String> breaches = new ArrayList<>();
+  private final SplittableRandom delays;
   private final StandInOrigin origin;
   private final StandInClients clients;
   private final RudeClients rude;
@@ -127,12 +127,13 @@
     this.tampering = tampering;
     origin = new StandInOrigin(wire, plan.seed() + 1, 12, 0.06);
     rude = new RudeClients(wire, plan.seed() + 3);
+    delays = new SplittableRandom(plan.seed() + 4);
     Traffic traffic =
         new Traffic(
             plan.ratePerSecond(),
             plan.joining() ? JOINED_KEYS : KEYS,
             plan.skew(),
-            CLASSES,
+            classes(plan.world().hurry()),
             plan.goneShare());
     clients = new StandInClients(wire, ledger, traffic, GRACE_MILLIS, 80, plan.seed() + 2);
     if (plan.joining()) {
@@ -217,6 +218,9 @@
       }
     }
     discovery.lag(plan.lagMillis());
+    if (plan.world().indented()) {
+      discovery.indent();
+    }
     discovery.start().addListener(done -> addInstance(name, discovery));
   }
 
@@ -284,7 +288,7 @@
 
       @Override
       public Bootstrap connector(EventLoop loop) {
-        return Wire.local(loop, allocator, tampering.opened()).connector();
+        return Wire.local(loop, allocator, SimulatedDay.this::opened).connector();
       }
 
       @Override
@@ -294,20 +298,28 @@
     };
   }
 
+  private void opened(Channel channel) {
+    tampering.opened().accept(channel);
+    if (delays.nextDouble() < plan.world().lateShare()) {
+      channel.pipeline().addFirst(new LateConnect(plan.world().lateMillis()));
+    }
+  }
+
   private String config(StandInDiscovery discovery) {
+    int hurry = plan.world().hurry();
     return """
         {"listen":"127.0.0.1:0","discovery":"%s","seed":"%x",
          "limits":{"memory_mb":128,"sockets":512},"known":%s,
          "settings":{"instances":%d,"discovery":"%s","zone":"a","azs":["a","b"],
-          "caps":{"attempts-cap":%d,"cancel":true,"parallel-tries":%b,"multiplex":%d,
+          "caps":{"attempts-cap":%d,"cancel":%b,"parallel-tries":%b,"multiplex":%d,
                   "connect-timeout":0.15,"conn-idle":30,"retry-after":true,"max-retry-after":1},
           "contract":{"grace-to-answer":0.05,"ask-within":10,"drain-grace":%s,"cold-from":%s,
                       "warm-within":%s,"overload-factor":%s,"overload-for":%s},
           "services":[
-           {"name":"read","effect":"retryable","slo":0.75,"give-up":2,"credit":2,"late-share":0.3},
-           {"name":"put","effect":"fragile","slo":0.3,"give-up":1,"credit":5,"late-share":0.3},
-           {"name":"note","effect":"dedup","group":"zone","repeat-window":5,"slo":0.5,
-            "give-up":1.5,"credit":3,"late-share":0.3}]}}
+           {"name":"read","effect":"retryable","slo":%s,"give-up":%s,"credit":2,"late-share":0.3},
+           {"name":"put","effect":"fragile","slo":%s,"give-up":%s,"credit":5,"late-share":0.3},
+           {"name":"note","effect":"dedup","group":"zone","repeat-window":5,"slo":%s,
+            "give-up":%s,"credit":3,"late-share":0.3}]}}
         """
         .formatted(
             discovery.address(),
@@ -316,13 +328,20 @@
             plan.nodes(),
             plan.asksForList() ? "ask" : "push",
             plan.maxAttempts(),
+            plan.world().cancel(),
             plan.parallel(),
             plan.perConnection(),
             DRAIN_GRACE_MILLIS / 1e3,
             COLD_SHARE,
             WARM_SECONDS,
             FALL_MULTIPLE,
-            FALL_SECONDS);
+            FALL_SECONDS,
+            0.75 / hurry,
+            2.0 / hurry,
+            0.3 / hurry,
+            1.0 / hurry,
+            0.5 / hurry,
+            1.5 / hurry);
   }
 
   // The list.
@@ -401,6 +420,8 @@
       case RUDE ->
           instances.forEach(instance -> rude.come(instance.address(), (int) trouble.strength()));
       case RESTART -> restart(trouble.which());
+      case MUTE_WATCHES -> instances.forEach(instance -> instance.discovery().muteWatches());
+      case RETUNE -> instances.forEach(this::retune);
       case RUSH -> {
         clients.rush(trouble.strength());
         later(millis, () -> clients.rush(1));
@@ -408,6 +429,15 @@
     }
   }
 
+  private void retune(Instance instance) {
+    try {
+      NodeConfig same = NodeConfig.parse(JsonObject.parse(config(instance.discovery())));
+      instance.loop().execute(() -> instance.balancer().retune(same));
+    } catch (FormatException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
   /**
    * A load balancer ends as planned while another that has started before takes new connections.
    * What is left of it once it is drained is a leak.
--- a/days/src/main/java/shalepaddle/days/VirtualTime.java
+++ b/days/src/main/java/shalepaddle/days/VirtualTime.java
@@ -55,7 +55,8 @@
   void hold(ManualIoEventLoop loop, long millis) {
     for (Held held : loops) {
       if (held.loop == loop) {
-        held.until = ticker.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
+        long until = ticker.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
+        held.until = held.until - until > 0 ? held.until : until;
       }
     }
   }
--- /dev/null
+++ b/days/src/test/java/shalepaddle/days/CrossingDayTest.java
@@ -0,0 +1,50 @@
+package shalepaddle.days;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/**
+ * Days on which several things go wrong at almost the same moment, in deployments that differ in
+ * deadlines, in how connections come up and in what may be called off, and many clients leave: the
+ * four rules hold, and nothing is sent for a client that has left.
+ */
+class CrossingDayTest {
+  private static final int MILLIS = 8000;
+
+  static LongStream seeds() {
+    return LongStream.rangeClosed(2001, 2150);
+  }
+
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void nothingBreaks(long seed) {
+    DayReport report = SimulatedDay.play(DayPlan.crossing(seed, MILLIS));
+    assertEquals(List.of(), report.breaches(), report::toString);
+  }
+
+  /** Guards against a draw that leaves out what it is for. */
+  @Test
+  void eachTwoKindsMeetOnSomeSeed() {
+    List<String> pairs = new ArrayList<>();
+    for (long seed = 1; seed <= 2000; seed++) {
+      DayPlan usual = DayPlan.of(seed, MILLIS);
+      List<DayPlan.Trouble> added = new ArrayList<>(DayPlan.crossing(seed, MILLIS).troubles());
+      usual.troubles().forEach(added::remove);
+      for (int i = 0; i < added.size(); i++) {
+        for (int j = i + 1; j < added.size(); j++) {
+          pairs.add(added.get(i).kind() + " " + added.get(j).kind());
+        }
+      }
+    }
+    assertEquals(12 * 12, Set.copyOf(pairs).size(), "in either order");
+    assertTrue(pairs.size() > 2000);
+  }
+}
--- a/testkit/src/main/java/shalepaddle/testkit/Pauses.java
+++ b/testkit/src/main/java/shalepaddle/testkit/Pauses.java
@@ -10,9 +10,16 @@
 
   private final List<Pause> pauses = new ArrayList<>();
 
-  /** It does not run for so long from this time on. */
+  /** It does not run for so long from this time on; to be told in the order of time. */
   void add(long from, long millis) {
-    pauses.add(new Pause(from, from + TimeUnit.MILLISECONDS.toNanos(millis)));
+    Pause next = new Pause(from, from + TimeUnit.MILLISECONDS.toNanos(millis));
+    int last = pauses.size() - 1;
+    if (last >= 0 && pauses.get(last).to() >= from) {
+      // One that begins within another is one with it.
+      Pause before = pauses.remove(last);
+      next = new Pause(before.from(), Math.max(before.to(), next.to()));
+    }
+    pauses.add(next);
   }
 
   /** How long it did not run between two times. */
--- a/testkit/src/main/java/shalepaddle/testkit/StandInDiscovery.java
+++ b/testkit/src/main/java/shalepaddle/testkit/StandInDiscovery.java
@@ -36,8 +36,15 @@
  */
 public final class StandInDiscovery {
   private static final String PATH = "/catalog/members";
+
+  /** Characters in a piece where lists are cut anywhere. */
+  private static final int PIECE = 37;
+
   private static final long HEARTBEAT_MILLIS = 2000;
 
+  /** What a watch that has fallen silent misses counts as told so long after that. */
+  private static final long SILENCE_BINDS_MILLIS = 6000;
+
   /** What the list says of a server. */
   public enum State {
     ACTIVE,
@@ -79,6 +86,7 @@
   private long version;
   private long lagNanos;
   private boolean silent;
+  private boolean indented;
   private SocketAddress address;
   private Channel listener;
 
@@ -122,6 +130,22 @@
     }
   }
 
+  /**
+   * The watches that are open now say nothing more, and stay open: what they miss counts as told
+   * some seconds later, whether or not anybody hears of it.
+   */
+  public void muteWatches() {
+    for (Watch watch : watches) {
+      watch.muted = true;
+      watch.mutedAt = wire.now();
+    }
+  }
+
+  /** From now on lists come over many lines, in pieces cut anywhere. */
+  public void indent() {
+    indented = true;
+  }
+
   /** What changes from now on is told so much later. */
   public void lag(long millis) {
     lagNanos = TimeUnit.MILLISECONDS.toNanos(millis);
@@ -144,7 +168,10 @@
     return Wire.text(address);
   }
 
-  /** When anybody was first told that this server is in that state; -1 if nobody was. */
+  /**
+   * When anybody was first told that this server is in that state, or counted as told; -1 if nobody
+   * was.
+   */
   public long toldAt(String id, State state) {
     return toldAt.getOrDefault(id + state, -1L);
   }
@@ -186,6 +213,8 @@
   private final class Watch extends SimpleChannelInboundHandler<HttpObject> {
     private final Channel channel;
     private long told;
+    private boolean muted;
+    private long mutedAt;
 
     Watch(Channel channel) {
       this.channel = channel;
@@ -226,7 +255,11 @@
     /** Tells what has changed since it was told last. */
     private void tell() {
       long upTo = tellable();
-      if (!silent && upTo > told) {
+      if (muted && upTo > told) {
+        long binds = mutedAt + TimeUnit.MILLISECONDS.toNanos(SILENCE_BINDS_MILLIS);
+        note(told, upTo, Math.max(wire.now(), binds));
+        told = upTo;
+      } else if (!silent && upTo > told) {
         line(json(false, told, upTo));
         note(told, upTo);
         told = upTo;
@@ -238,7 +271,7 @@
           .schedule(
               () -> {
                 if (channel.isActive()) {
-                  if (!silent) {
+                  if (!silent && !muted) {
                     line("");
                   }
                   beat();
@@ -249,8 +282,19 @@
     }
 
     private void line(String text) {
-      channel.writeAndFlush(
-          new DefaultHttpContent(ByteBufUtil.writeUtf8(channel.alloc(), text + "\n")));
+      if (indented) {
+        String laidOut = text.replace("{", "{\n  ").replace(",", ",\n  ").replace("]", "\n]");
+        for (int from = 0; from < laidOut.length(); from += PIECE) {
+          piece(laidOut.substring(from, Math.min(laidOut.length(), from + PIECE)));
+        }
+        piece("\n\n");
+      } else {
+        piece(text + "\n");
+      }
+    }
+
+    private void piece(String text) {
+      channel.writeAndFlush(new DefaultHttpContent(ByteBufUtil.writeUtf8(channel.alloc(), text)));
     }
 
     @Override
@@ -260,9 +304,13 @@
   }
 
   private void note(long since, long upTo) {
+    note(since, upTo, wire.now());
+  }
+
+  private void note(long since, long upTo, long at) {
     for (Line line : lines.values()) {
       if (line.version() > since && line.version() <= upTo) {
-        toldAt.putIfAbsent(line.member().id() + line.member().state(), wire.now());
+        toldAt.merge(line.member().id() + line.member().state(), at, Math::min);
       }
     }
   }
