Hand back what waits for a server that leaves, once the decisions know of it

Cause, by tests over loopback that fail on the code before: what waited for a place at a server was kept when the list said that it leaves, and was written when a place came free, up to its deadline later and past the grace (ServerPools.update looked at servers that were gone alone); what was turned down with its connection was written again to a server that had begun to leave meanwhile (ServerPool.turnedDown); what waited for one that was gone was handed back before the decisions knew of that, came again and used up its attempts (ServerPools.update before Dispatcher.membership).

Change: pools know that their server leaves, and hand back in a step of its own after the decisions have taken the list.

Ruled out: the same for a server that is left out by hand, which passes before.

--- a/engine/src/main/java/shalepaddle/node/LoadBalancer.java
+++ b/engine/src/main/java/shalepaddle/node/LoadBalancer.java
@@ -278,6 +278,7 @@
     whole = list.whole(whole);
     pools.update(list, time.now());
     dispatcher.membership(list.update(kind));
+    pools.handBack();
   }
 
   /** From now on what attempts show is kept there, for a process that takes this one's place. */
--- a/engine/src/main/java/shalepaddle/upstream/ServerPool.java
+++ b/engine/src/main/java/shalepaddle/upstream/ServerPool.java
@@ -52,6 +52,9 @@
   /** How often it was vacated: what was on its way then is not used. */
   private int vacations;
 
+  /** Whether the list says that the server wants nothing new. */
+  private boolean leaving;
+
   ServerPool(
       Bootstrap bootstrap,
       ServerCodec codec,
@@ -73,8 +76,9 @@
    * The list has the server here, started at this time. Connections to another address, or older
    * than the process, lead nowhere: they are not used again.
    */
-  void listed(SocketAddress at, double startedAt, double now) {
+  void listed(SocketAddress at, double startedAt, boolean leaving, double now) {
     boolean moved = !at.equals(address);
+    this.leaving = leaving;
     address = at;
     long started = clock.look() - (long) (Math.max(0, now - startedAt) * 1e9);
     for (ServerConnection connection : List.copyOf(connections)) {
@@ -90,14 +94,28 @@
    */
   void vacate() {
     vacations++;
-    for (Attempt attempt = waiting.poll(); attempt != null; attempt = waiting.poll()) {
-      dispatcher.ended(attempt, Outcome.Result.CONNECT_FAILED);
-    }
+    handBack();
     for (ServerConnection connection : List.copyOf(connections)) {
       connection.retire();
     }
   }
 
+  /**
+   * What waits goes back if the server is to leave. Guards against what was decided on before that
+   * was known, and would go out after the grace: a place may come free as late as its time is up.
+   */
+  void handBackIfLeaving() {
+    if (leaving) {
+      handBack();
+    }
+  }
+
+  private void handBack() {
+    for (Attempt attempt = waiting.poll(); attempt != null; attempt = waiting.poll()) {
+      dispatcher.ended(attempt, Outcome.Result.CONNECT_FAILED);
+    }
+  }
+
   /**
    * Writes an attempt to a free connection, the one used last so that others fall idle; where there
    * is none, opens one more; at the limit, writes it behind the fewest others.
@@ -243,7 +261,7 @@
   void turnedDown(Attempt attempt) {
     capped(Math.max(1, Math.min(cap(), live())), TURNED_DOWN_NANOS);
     // Never on one that it would have to open: the server may be left out by now.
-    ServerConnection best = best();
+    ServerConnection best = leaving ? null : best();
     if (best != null && !attempt.over && dispatcher.again(attempt)) {
       best.write(attempt);
     } else {
--- a/engine/src/main/java/shalepaddle/upstream/ServerPools.java
+++ b/engine/src/main/java/shalepaddle/upstream/ServerPools.java
@@ -3,6 +3,7 @@
 import io.netty.bootstrap.Bootstrap;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import shalepaddle.engine.Attempt;
@@ -19,6 +20,9 @@
   /** Servers that an operator leaves out, also such as are not listed for now. */
   private final Set<Long> excluded = new HashSet<>();
 
+  /** Servers that the list no longer has, until {@link #handBack}. */
+  private final Set<Long> gone = new HashSet<>();
+
   private final Bootstrap bootstrap;
   private final ServerCodec codec;
   private final ServerPool.Limits limits;
@@ -41,9 +45,14 @@
     this.budget = new ConnectionBudget(limits.total());
   }
 
-  /** Takes in where the servers are now. */
+  /**
+   * Takes in where the servers are now; what waits for those that leave or have left is handed back
+   * by {@link #handBack}.
+   */
   public void update(MemberList list, double now) {
-    Set<Long> gone = list.full() ? new HashSet<>(pools.keySet()) : new HashSet<>();
+    if (list.full()) {
+      gone.addAll(pools.keySet());
+    }
     for (MemberList.Member member : list.members()) {
       ServerEntry entry = member.entry();
       if (entry.state() == ServerEntry.State.GONE) {
@@ -55,14 +64,25 @@
           pools.computeIfAbsent(
               entry.id(),
               id -> new ServerPool(bootstrap, codec, limits, budget, dispatcher, member.address()));
-      pool.listed(member.address(), entry.startedAt(), now);
+      boolean leaving = entry.state() != ServerEntry.State.READY;
+      pool.listed(member.address(), entry.startedAt(), leaving, now);
     }
-    for (long id : gone) {
+  }
+
+  /**
+   * What waits for a server that leaves or has left goes back; to be called once the decisions know
+   * of that, so that it does not come again until it has used up its attempts.
+   */
+  public void handBack() {
+    List<Long> left = List.copyOf(gone);
+    gone.clear();
+    for (long id : left) {
       ServerPool pool = pools.remove(id);
       if (pool != null) {
         pool.vacate();
       }
     }
+    List.copyOf(pools.values()).forEach(ServerPool::handBackIfLeaving);
   }
 
   /** Whether the server is listed, or left out by an operator. */
