Keep a call to discovery that waits its turn, and begin back-off anew at a new service

Cause, by tests over loopback that fail on the code before: while a call waited its turn, the decisions' own timer made it anew and put it at the end of the line (DiscoveryClient.follow ended the call under way); after a move of discovery the back-off went on from what the old service had failed to do, 2 to 4 s after three failures, where what the new one has to tell binds 4 s after the signal (MembershipFeed.failures).

Change: a call that is under way is kept, its own patience bounds it; new settings begin the back-off anew.

--- a/core/src/main/java/shalepaddle/policy/Balancer.java
+++ b/core/src/main/java/shalepaddle/policy/Balancer.java
@@ -97,6 +97,7 @@
   public void retune(Settings next) {
     settings = next;
     feed.settings = next;
+    feed.failures = 0;
     next.services().forEach(service -> classes.put(service.name(), service));
   }
 
--- a/core/src/main/java/shalepaddle/policy/MembershipFeed.java
+++ b/core/src/main/java/shalepaddle/policy/MembershipFeed.java
@@ -21,7 +21,7 @@
 
   private boolean subscribed;
   private double callAt = Double.POSITIVE_INFINITY;
-  private int failures;
+  int failures;
 
   MembershipFeed(Settings settings, Actions actions, SplittableRandom random) {
     this.settings = settings;
@@ -69,7 +69,6 @@
         if (update.kind() != MembershipUpdate.Kind.REMEMBERED) {
           subscribed = true;
           failures = 0;
-          callAt = Double.POSITIVE_INFINITY;
         } else if (settings.asksForList()) {
           // Restarted balancers start together: spread their first calls by a little.
           callIn(now, Math.min(0.02 * settings.instances(), 0.5) * random.nextDouble());
--- a/engine/src/main/java/shalepaddle/membership/DiscoveryClient.java
+++ b/engine/src/main/java/shalepaddle/membership/DiscoveryClient.java
@@ -92,11 +92,16 @@
     this.listener = listener;
   }
 
+  /**
+   * Makes a call unless one is under way: that waits its turn, and would lose it. Its own time
+   * bounds it.
+   */
   @Override
   public void follow() {
-    stop();
     stopped = false;
-    watch = new Call();
+    if (watch == null) {
+      watch = new Call();
+    }
   }
 
   /**
@@ -106,6 +111,7 @@
   public void moveTo(InetSocketAddress there) {
     if (!there.equals(address)) {
       address = there;
+      stop();
       follow();
     }
   }
@@ -128,7 +134,7 @@
     if (!asked) {
       loop.schedule(
           () -> {
-            if (watch == null && !stopped) {
+            if (!stopped) {
               follow();
             }
           },
--- a/engine/src/test/java/shalepaddle/node/DiscoveryTest.java
+++ b/engine/src/test/java/shalepaddle/node/DiscoveryTest.java
@@ -1,6 +1,7 @@
 package shalepaddle.node;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -313,4 +314,46 @@
       serveOne(rig, rig.cache, "again");
     }
   }
+
+  /**
+   * Where lists are asked for calls wait in turn: one made anew is at the end of the line again.
+   */
+  @Test
+  void aCallThatWaitsItsTurnIsNotMadeAnew() throws Exception {
+    String contract =
+        ",\"contract\":{\"ask-within\":1,\"drain-grace\":2,\"cold-from\":0.1,\"warm-within\":1}";
+    try (NodeRig rig = new NodeRig(contract)) {
+      ScriptedPeer discovery = rig.acceptDiscovery();
+      call(discovery);
+      assertFalse(rig.hasAnotherDiscoveryCall(2500));
+      discovery.write(
+          HEAD + NodeRig.chunk(NodeRig.members(8, true, rig.cache.getLocalPort()) + "\n"));
+      serveOne(rig, rig.cache, "told");
+    }
+  }
+
+  /** What the new service has to tell binds 4 s after the signal. */
+  @Test
+  void whatTheOldServiceFailedToDoDoesNotSlowCallsToTheNewOne(@TempDir Path folder)
+      throws Exception {
+    String busy = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+    Path config = folder.resolve("config.json");
+    try (NodeRig rig = new NodeRig();
+        ServerSocket second = NodeRig.listen()) {
+      for (int i = 0; i < 3; i++) {
+        ScriptedPeer old = rig.acceptDiscovery();
+        call(old);
+        old.write(busy);
+      }
+      String old = "127.0.0.1:" + rig.discovery.getLocalPort();
+      String text = rig.configText("").replace(old, "127.0.0.1:" + second.getLocalPort());
+      Files.writeString(config, text);
+      rig.node.reload(config.toString(), JsonObject.parse(text));
+      ScriptedPeer moved = new ScriptedPeer(second.accept());
+      call(moved);
+      moved.write(busy);
+      second.setSoTimeout(1500);
+      call(new ScriptedPeer(second.accept()));
+    }
+  }
 }
