Listen once the agent has told of its list, 250 ms later at most

Cause, by a test over loopback that fails on the code before: where lists are pushed, what the agent has binds from the first moment of a new process, and that process listened before its first call was answered: requests were decided on the list that it was started with, which may be old, and went to a server that had long been told to leave (Node.listen).

Change: a start waits for the first list where lists are pushed. An agent that says nothing, since discovery is down, delays it by 250 ms.

With it: a decoder that has part of a command asks for more by itself, also where nothing is to be read; ReadAhead lets that pass only while it may. Reasoned, not seen.

--- a/engine/src/main/java/shalepaddle/front/ReadAhead.java
+++ b/engine/src/main/java/shalepaddle/front/ReadAhead.java
@@ -2,8 +2,8 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.ByteToMessageDecoder;
 import shalepaddle.engine.MemoryBudget;
 
@@ -19,7 +19,7 @@
  * single read brings. A client that has sent more, and leaves, is found out when an answer is
  * written to it.
  */
-final class ReadAhead extends ChannelInboundHandlerAdapter {
+final class ReadAhead extends ChannelDuplexHandler {
   /** Bytes that are read ahead on one connection, about. */
   static final int MOST = 16 << 10;
 
@@ -83,6 +83,14 @@
     channel.config().setAutoRead(pace != Pace.UNREAD && room);
   }
 
+  /** Guards against a decoder, which reads on by itself where a command is not whole. */
+  @Override
+  public void read(ChannelHandlerContext ctx) {
+    if (pace != Pace.UNREAD) {
+      ctx.read();
+    }
+  }
+
   @Override
   public void channelRead(ChannelHandlerContext ctx, Object message) {
     ByteBuf bytes = (ByteBuf) message;
--- a/engine/src/main/java/shalepaddle/node/LoadBalancer.java
+++ b/engine/src/main/java/shalepaddle/node/LoadBalancer.java
@@ -7,6 +7,7 @@
 import java.nio.channels.ServerSocketChannel;
 import java.util.List;
 import java.util.Locale;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import shalepaddle.codec.meta.MetaClientCodec;
 import shalepaddle.codec.meta.MetaServerCodec;
@@ -133,6 +134,9 @@
   /** All servers of the list, null before it has begun. */
   private MemberList whole;
 
+  /** Open until discovery has told of the list, after that for good. */
+  private final CountDownLatch listed = new CountDownLatch(1);
+
   private boolean handedOver;
 
   /** Connections of clients that another process of this node holds. */
@@ -264,6 +268,7 @@
     @Override
     public void list(MemberList list) {
       take(list, list.full() ? MembershipUpdate.Kind.FULL : MembershipUpdate.Kind.CHANGES);
+      listed.countDown();
     }
 
     @Override
@@ -303,6 +308,17 @@
     }
   }
 
+  /**
+   * Where lists are pushed, waits until the first has come, for so long at most: what the agent has
+   * binds from the first moment on, and the list that the node was started with may be old. Not to
+   * be called on the event loop.
+   */
+  void awaitPushedList(long millis) throws InterruptedException {
+    if (!config.settings().asksForList()) {
+      listed.await(millis, TimeUnit.MILLISECONDS);
+    }
+  }
+
   /** Listens for clients there; the future tells of the bound channel. */
   public ChannelFuture listen(SocketAddress address) {
     return listens(transport.acceptor(loop).childHandler(front).bind(address));
--- a/engine/src/main/java/shalepaddle/node/Node.java
+++ b/engine/src/main/java/shalepaddle/node/Node.java
@@ -38,6 +38,12 @@
   /** How long the last answers may take to go out, where nobody kills the node. */
   private static final long LINGER_MILLIS = 2000;
 
+  /**
+   * How long a start waits for an agent's list. An agent answers at once; one that does not has
+   * nothing new, since discovery is down.
+   */
+  private static final long FIRST_LIST_MILLIS = 250;
+
   /** The steps in which a drain waits for its end. */
   private static final long DRAIN_STEP_MILLIS = 50;
 
@@ -285,6 +291,7 @@
   }
 
   private InetSocketAddress listen() throws IOException, InterruptedException {
+    balancer.awaitPushedList(FIRST_LIST_MILLIS);
     ChannelFuture bound =
         (inherited == null ? balancer.listen(config.listen()) : balancer.listen(inherited)).await();
     if (!bound.isSuccess()) {
--- a/engine/src/test/java/shalepaddle/node/DiscoveryTest.java
+++ b/engine/src/test/java/shalepaddle/node/DiscoveryTest.java
@@ -356,4 +356,53 @@
       call(new ScriptedPeer(second.accept()));
     }
   }
+
+  /** What an agent has binds from the first moment on, whatever the process was started with. */
+  @Test
+  void aNodeListensOnceItHasTheAgentsList() throws Exception {
+    try (ServerSocket agent = NodeRig.listen();
+        ServerSocket left = NodeRig.listen();
+        ServerSocket ready = NodeRig.listen()) {
+      Thread answers =
+          new Thread(
+              () -> {
+                try {
+                  ScriptedPeer call = new ScriptedPeer(agent.accept());
+                  call(call);
+                  // Long against what lies between listening and a first request.
+                  Thread.sleep(100);
+                  call.write(
+                      HEAD
+                          + NodeRig.chunk(
+                              list(
+                                  8,
+                                  server(left.getLocalPort(), "leaving"),
+                                  server(ready.getLocalPort(), "active"))));
+                } catch (IOException | InterruptedException e) {
+                  // The test fails by what it waits for.
+                }
+              });
+      answers.start();
+      try (NodeRig rig = new NodeRig(agent, left, ",\"discovery\":\"push\"")) {
+        ScriptedPeer client = rig.client().write(NodeRig.get("first", 5000));
+        try (ScriptedPeer cache = new ScriptedPeer(ready.accept())) {
+          assertTrue(cache.line().contains("Ofirst "));
+          cache.write("VA 1 Ofirst\r\nx\r\n");
+          assertEquals("VA 1 Ofirst", client.line());
+        }
+      }
+      answers.join();
+    }
+  }
+
+  /** An agent that says nothing, since discovery is down, delays a start by a moment alone. */
+  @Test
+  void aNodeListensWhereItsAgentIsSilent() throws Exception {
+    try (ServerSocket agent = NodeRig.listen();
+        ServerSocket known = NodeRig.listen();
+        NodeRig rig = new NodeRig(agent, known, ",\"discovery\":\"push\"")) {
+      ScriptedPeer client = rig.client().write("mn\r\n");
+      assertEquals("MN", client.line());
+    }
+  }
 }
--- a/engine/src/test/java/shalepaddle/node/NodeRig.java
+++ b/engine/src/test/java/shalepaddle/node/NodeRig.java
@@ -19,8 +19,8 @@
 
 /** A node on loopback with one scripted cache server and one scripted discovery. */
 final class NodeRig implements Closeable {
-  final ServerSocket cache = listen();
-  final ServerSocket discovery = listen();
+  final ServerSocket cache;
+  final ServerSocket discovery;
   final Node node;
   final InetSocketAddress address;
   private final List<Closeable> peers = new ArrayList<>();
@@ -36,18 +36,32 @@
 
   /** A node with further settings, and what an operator sets. */
   NodeRig(String settings, OperatorFile operator) throws Exception {
+    cache = listen();
+    discovery = listen();
     node = new Node(config(settings), operator);
     address = node.start();
   }
 
+  /** A node that asks this discovery and knows this server, with further settings. */
+  NodeRig(ServerSocket discovery, ServerSocket cache, String settings) throws Exception {
+    this.cache = cache;
+    this.discovery = discovery;
+    node = new Node(config(settings), OperatorFile.USUAL);
+    address = node.start();
+  }
+
   /** A node that opens so many connections to a server. */
   NodeRig(int connections) throws Exception {
+    cache = listen();
+    discovery = listen();
     node = new Node(config(""), OperatorFile.USUAL, connections);
     address = node.start();
   }
 
   /** A node that may hold so many descriptors, and opens so many connections to a server. */
   NodeRig(int connections, int sockets) throws Exception {
+    cache = listen();
+    discovery = listen();
     node =
         new Node(
             load(configText("").replace("\"sockets\":1024", "\"sockets\":" + sockets)),
