--- a/engine/src/main/java/shalepaddle/node/Node.java
+++ b/engine/src/main/java/shalepaddle/node/Node.java
@@ -353,6 +353,10 @@
     return balancer.dispatcher();
   }
 
+  LoadBalancer balancer() {
+    return balancer;
+  }
+
   /** See {@link LoadBalancer#overload}. From any thread. */
   public OverloadReading overload() {
     return balancer.overload();
--- a/engine/src/test/java/shalepaddle/node/DrainTest.java
+++ b/engine/src/test/java/shalepaddle/node/DrainTest.java
@@ -8,6 +8,7 @@
 import java.io.IOException;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -34,8 +35,10 @@
 
   @AfterEach
   void end() throws Exception {
-    drain.join(ScriptedPeer.PATIENCE_MILLIS);
-    assertFalse(drain.isAlive());
+    if (drain != null) {
+      drain.join(ScriptedPeer.PATIENCE_MILLIS);
+      assertFalse(drain.isAlive());
+    }
     rig.close();
   }
 
@@ -122,6 +125,22 @@
     late.close();
   }
 
+  @Test
+  void aHandOverEndsWhoRestsBeforeTheProcessMayBeKilled() throws Exception {
+    rig = new NodeRig(settings(0.1));
+    ScriptedPeer client = rig.client().write(NodeRig.get("a1", 5000));
+    serveAll();
+    assertEquals("VA 1 Oa1", client.line());
+    client.line();
+    CountDownLatch over = new CountDownLatch(1);
+    long begun = System.nanoTime();
+    rig.node.loop().execute(() -> rig.node.balancer().handOver(over::countDown));
+    assertTrue(client.ended());
+    assertTrue(millisSince(begun) < 790, "after " + millisSince(begun) + " ms");
+    client.close();
+    assertTrue(over.await(ScriptedPeer.PATIENCE_MILLIS, TimeUnit.MILLISECONDS));
+  }
+
   @Test
   void whatCameWhileTheLoopStoodStillIsAcceptedBeforeTheListenerCloses() throws Exception {
     rig = new NodeRig();
--- a/engine/src/test/java/shalepaddle/node/LeavingClientTest.java
+++ b/engine/src/test/java/shalepaddle/node/LeavingClientTest.java
@@ -159,6 +159,26 @@
     assertEquals(0, sentBefore(cache), "of " + BATCHES * BATCH);
   }
 
+  @Test
+  void noneThatWaitsBehindBytesThatTheKernelDidNotTakeIsSentOn() throws Exception {
+    rig = new NodeRig(SHARED.formatted(false));
+    int length = 4 << 20;
+    ScriptedPeer first = rig.client().write(NodeRig.put("w", MILLIS, "v".repeat(length)));
+    // It reads nothing yet.
+    ScriptedPeer cache = rig.acceptCache();
+    rig.settled();
+    for (int batch = 0; batch < BATCHES; batch++) {
+      List<ScriptedPeer> waiting = ask(BATCH);
+      rig.settled();
+      leave(waiting);
+    }
+    assertTrue(cache.line().startsWith("ms "));
+    cache.bytes(length + 2);
+    cache.write("HD Ow c1\r\n");
+    assertEquals("HD Ow c1", first.line());
+    assertEquals(0, sentBefore(cache), "of " + BATCHES * BATCH);
+  }
+
   @ParameterizedTest
   @ValueSource(booleans = {true, false})
   void noneIsTriedAgain(boolean cancel) throws Exception {
