Ask an agent anew five times a second at most, and log a failure of discovery once

Cause: where the settings name no grace, half of it left 50 ms for an agent's answer and 25 ms between calls; each failure was a line, and a log takes ten a second, so that what operators wait for ("discovery at ...", after SIGHUP) was not written. JarIT hung on that line in a whole run of the tests; a trace of its stacks and the log's bound show it.

Change: at least 200 ms for an answer and between calls, 1 s where no grace is named; a failure is written when it is another than the last, or after a list.

--- a/engine/src/main/java/shalepaddle/membership/DiscoveryClient.java
+++ b/engine/src/main/java/shalepaddle/membership/DiscoveryClient.java
@@ -44,6 +44,9 @@
   /** The longest that an agent on the node's own machine may take to answer a call. */
   private static final long MOST_AGENT_MILLIS = 1000;
 
+  /** The least, and the least pause: however short a grace, calls must not become a storm. */
+  private static final long LEAST_AGENT_MILLIS = 200;
+
   private static final long CONNECT_TIMEOUT_MILLIS = 2000;
   private static final long RETRY_MILLIS = 500;
 
@@ -75,7 +78,8 @@
    * @param bootstrap opens connections on the loop
    * @param asked whether a call is made only when told to, and its failure is told in turn; else a
    *     watch is kept up from the first {@link #follow} on
-   * @param graceSeconds for how long a server that leaves may still be sent something
+   * @param graceSeconds for how long a server that leaves may still be sent something, 0 where
+   *     nothing says so
    * @param version the version of the list that is known
    */
   public DiscoveryClient(
@@ -94,7 +98,10 @@
     this.clock = clock;
     this.address = address;
     this.asked = asked;
-    this.agentMillis = Math.max(50, Math.min(MOST_AGENT_MILLIS, (long) (graceSeconds * 500)));
+    this.agentMillis =
+        graceSeconds > 0
+            ? Math.max(LEAST_AGENT_MILLIS, Math.min(MOST_AGENT_MILLIS, (long) (graceSeconds * 500)))
+            : MOST_AGENT_MILLIS;
     this.version = version;
     this.listener = listener;
   }
@@ -315,7 +322,7 @@
     }
 
     private void fail(String why) {
-      fail(why, Math.min(RETRY_MILLIS, agentMillis / 2));
+      fail(why, Math.min(RETRY_MILLIS, agentMillis));
     }
 
     private void fail(String why, long pauseMillis) {
--- a/engine/src/main/java/shalepaddle/node/LoadBalancer.java
+++ b/engine/src/main/java/shalepaddle/node/LoadBalancer.java
@@ -266,15 +266,23 @@
 
   /** Tells first the connections and then the module of what discovery says. */
   private final class Members implements MemberListener {
+    /** What was last written of a failure, null since the last list. */
+    private String toldFailure;
+
     @Override
     public void list(MemberList list) {
+      toldFailure = null;
       take(list, list.full() ? MembershipUpdate.Kind.FULL : MembershipUpdate.Kind.CHANGES);
       listed.countDown();
     }
 
     @Override
     public void listFailed(String why) {
-      log.line("discovery: " + why);
+      // Once until the next list: while discovery is down an agent is asked again and again.
+      if (!why.equals(toldFailure)) {
+        toldFailure = why;
+        log.line("discovery: " + why);
+      }
       dispatcher.membership(new MembershipUpdate(MembershipUpdate.Kind.FAILED, 0, List.of()));
     }
   }
