An agent that ends its watch is asked anew without a line in the log, as before

Cause: since failures of pushed lists are told, `try` with a taken port wrote a second line as its stand-ins ended; CommandLineIT asks for one.

--- a/engine/src/main/java/shalepaddle/membership/DiscoveryClient.java
+++ b/engine/src/main/java/shalepaddle/membership/DiscoveryClient.java
@@ -47,6 +47,8 @@
   /** The least, and the least pause: however short a grace, calls must not become a storm. */
   private static final long LEAST_AGENT_MILLIS = 200;
 
+  private static final String ENDED = "connection ended";
+
   private static final long CONNECT_TIMEOUT_MILLIS = 2000;
   private static final long RETRY_MILLIS = 500;
 
@@ -144,7 +146,10 @@
     if (call == watch) {
       watch = null;
     }
-    listener.listFailed(why);
+    // An agent that ends a watch, as it does when it restarts, is asked anew: not worth a line.
+    if (asked || !why.equals(ENDED)) {
+      listener.listFailed(why);
+    }
     if (!asked) {
       loop.schedule(
           () -> {
@@ -268,7 +273,7 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
-      fail("connection ended");
+      fail(ENDED);
     }
 
     @Override
