Write a keyed repeat while its group remembers, or not at all

Change: the decision gives the time in which an attempt's last byte may go out (Actions.send, in place of a time-out that was always 0). An attempt that waits past it, for a place, a connection or behind bytes in the kernel, is given back without blame for its server, and its client is told at once. The group is that in which the first attempt's server was when it was sent; what waits for a server that the list moves to another cell or zone is handed back. A keyed request whose group is all servers is refused only while its window lasts: after it a new try may take effect a second time.

--- a/benchmarks/src/main/java/shalepaddle/benchmarks/DecisionCost.java
+++ b/benchmarks/src/main/java/shalepaddle/benchmarks/DecisionCost.java
@@ -98,7 +98,7 @@
   /** Notes where the request of the present slot goes. */
   private final class Sent implements Actions {
     @Override
-    public void send(String requestId, long server, double timeout) {
+    public void send(String requestId, long server, double within) {
       sentTo[slot] = server;
     }
 
--- a/core/src/main/java/shalepaddle/policy/Actions.java
+++ b/core/src/main/java/shalepaddle/policy/Actions.java
@@ -2,8 +2,8 @@
 
 /** What a {@link Balancer} can do; the shell around it carries these out, in order. */
 public interface Actions {
-  /** Sends the request's next attempt to a server; a timeout of 0 waits as long as the client. */
-  void send(String requestId, long server, double timeout);
+  /** Sends the next attempt; its last byte must go out within so many seconds, or never. */
+  void send(String requestId, long server, double within);
 
   /** Stops waiting for one attempt. */
   void cancel(String requestId, int attempt);
--- a/core/src/main/java/shalepaddle/policy/Balancer.java
+++ b/core/src/main/java/shalepaddle/policy/Balancer.java
@@ -189,7 +189,7 @@
     if (busy <= ready.size() || busy <= answerRate * p.type.aim()) {
       dispatch(now, p);
     }
-    giveUp(p);
+    giveUp(now, p);
   }
 
   /** The node stood still for so many seconds until now: no rate is measured over those. */
@@ -249,10 +249,10 @@
   }
 
   private void send(double now, PendingRequest p, ServerHealth target) {
+    actions.send(p.request.id(), target.id, p.sendWithin(target, now));
     target.sent();
     p.sent(target, now);
     inFlight++;
-    actions.send(p.request.id(), target.id, 0);
   }
 
   /**
@@ -302,7 +302,9 @@
         return null;
       }
       boolean remote = jump < p.localJumps && !server.entry.zone().equals(settings.zone());
-      if (remote || !p.maySend(server, now) || p.tries.stream().anyMatch(t -> t.server == server)) {
+      if (remote
+          || p.sendWithin(server, now) <= 0
+          || p.tries.stream().anyMatch(t -> t.server == server)) {
         continue;
       }
       if (!panic && server.suspect()) {
@@ -343,7 +345,7 @@
     ServerHealth best = null;
     for (ServerHealth server : among) {
       if ((best == null || server.inFlight < best.inFlight)
-          && p.maySend(server, now)
+          && p.sendWithin(server, now) > 0
           && (panic || !server.suspect() || server.trialDue(now))
           && coldRoom(now, server)) {
         best = server;
@@ -353,15 +355,15 @@
   }
 
   /** Answers a request that has no attempt out and is not held. */
-  private void giveUp(PendingRequest p) {
+  private void giveUp(double now, PendingRequest p) {
     if (!p.answered && p.out == 0 && !p.waiting) {
-      answer(p);
+      answer(now, p);
     }
   }
 
   /** The final answer of a request that no server answered. */
-  private void answer(PendingRequest p) {
-    if (p.out == 0 && p.mayRefuse()) {
+  private void answer(double now, PendingRequest p) {
+    if (p.out == 0 && p.mayRefuse(now)) {
       actions.refuse(p.request.id(), advice());
     } else {
       actions.fail(p.request.id());
@@ -507,28 +509,26 @@
     if (p.waiting && !p.answered) {
       p.waiting = false;
       dispatch(now, p);
-      giveUp(p);
+      giveUp(now, p);
     }
   }
 
   private void next(double now, PendingRequest p, Outcome outcome) {
-    if (now >= p.deadline - settings.tick()) {
-      answer(p);
-      return;
-    }
-    if (outcome.result() == Result.NOT_STORED) {
+    boolean inTime = now < p.deadline - settings.tick();
+    if (inTime && outcome.result() == Result.NOT_STORED) {
       ServerHealth origin = leastLoaded(now, p, origins);
       if (origin != null) {
         send(now, p, origin);
       }
-    } else if (outcome.result().unplaced()
-        || (outcome.result() == Result.FULL && !guard.troubled())
-        || (retryTokens >= 1 && (outcome.result() == Result.SPOILT || !guard.troubled()))) {
+    } else if (inTime
+        && (outcome.result().unplaced()
+            || (outcome.result() == Result.FULL && !guard.troubled())
+            || (retryTokens >= 1 && (outcome.result() == Result.SPOILT || !guard.troubled())))) {
       // Not while fetches fail: a retry would be one more of them.
       retryTokens -= outcome.result().provesNotRun() || outcome.result().broken() ? 0 : 1;
       dispatch(now, p);
     }
-    giveUp(p);
+    giveUp(now, p);
   }
 
   /** The client has left; nothing is owed any more. */
@@ -561,7 +561,7 @@
     } else if (now < p.deadline - settings.tick()) {
       actions.wake(p.serial, p.deadline - now);
     } else {
-      answer(p);
+      answer(now, p);
     }
   }
 }
--- a/core/src/main/java/shalepaddle/policy/PendingRequest.java
+++ b/core/src/main/java/shalepaddle/policy/PendingRequest.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import shalepaddle.model.Request;
+import shalepaddle.model.ServerEntry;
 import shalepaddle.model.Settings;
 
 /** A request and its attempts: what rules 1 and 2 (one answer, no effect twice) are kept by. */
@@ -10,12 +11,14 @@
   /** One attempt. */
   static final class Attempt {
     final ServerHealth server;
+    final ServerEntry entry;
     final double sentAt;
     private boolean out = true;
     private boolean mayHaveRun = true;
 
     Attempt(ServerHealth server, double sentAt) {
       this.server = server;
+      this.entry = server.entry;
       this.sentAt = sentAt;
     }
   }
@@ -99,31 +102,29 @@
     return onward < homes ? (firstHome + onward) % homes : onward;
   }
 
-  /**
-   * Rule 2: whether one more attempt may go to this server: anything while no attempt can have run,
-   * then what is safe to repeat, or what the same group of servers still remembers.
-   */
-  boolean maySend(ServerHealth server, double now) {
-    boolean alone = out == 0 || limits.parallelAttempts();
-    if (answered || streaming || tries.size() >= limits.maxAttempts() || !alone) {
-      return false;
-    }
+  /** Rule 2: seconds in which one more attempt may go to this server, 0 for never. */
+  double sendWithin(ServerHealth server, double now) {
+    boolean over = answered || streaming || tries.size() >= limits.maxAttempts();
+    boolean may = !over && (out == 0 || limits.parallelAttempts());
+    Attempt first = firstThatMayHaveRun();
+    boolean held = first == null || type.group().holds(first.entry, server.entry);
+    return may && (held || type.effect() == Settings.Effect.SAFE) ? harmlessFor(first, now) : 0;
+  }
+
+  /** Rule 2: whether the client may be told that a new try, anywhere, does no harm. */
+  boolean mayRefuse(double now) {
     Attempt first = firstThatMayHaveRun();
-    return switch (type.effect()) {
-      case SAFE -> true;
-      case UNSAFE -> first == null;
-      case KEYED ->
-          first == null
-              || (type.group().holds(first.server.entry, server.entry)
-                  && now + limits.connectTimeout() < first.sentAt + type.repeatWindow());
-    };
+    boolean bound = type.effect() == Settings.Effect.KEYED && type.group() != Settings.Group.ALL;
+    return first == null || !bound && harmlessFor(first, now) > 0;
   }
 
-  /** Rule 2: whether the client may be told that a new try does no harm. */
-  boolean mayRefuse() {
-    return type.effect() == Settings.Effect.SAFE
-        || firstThatMayHaveRun() == null
-        || (type.effect() == Settings.Effect.KEYED && type.group() == Settings.Group.ALL);
+  /** Seconds in which the group of servers drops repeats, with some to spare for their way. */
+  private double harmlessFor(Attempt first, double now) {
+    if (first == null || type.effect() == Settings.Effect.SAFE) {
+      return Double.POSITIVE_INFINITY;
+    }
+    double until = first.sentAt + type.repeatWindow() - limits.connectTimeout();
+    return type.effect() == Settings.Effect.KEYED ? Math.max(0, until - now) : 0;
   }
 
   private Attempt firstThatMayHaveRun() {
--- a/core/src/test/java/shalepaddle/policy/Rig.java
+++ b/core/src/test/java/shalepaddle/policy/Rig.java
@@ -18,8 +18,8 @@
     final List<Act> acts = new ArrayList<>();
 
     @Override
-    public void send(String requestId, long server, double timeout) {
-      acts.add(new Act("send", requestId, server, timeout));
+    public void send(String requestId, long server, double within) {
+      acts.add(new Act("send", requestId, server, within));
     }
 
     @Override
--- a/core/src/test/java/shalepaddle/policy/RuleChecker.java
+++ b/core/src/test/java/shalepaddle/policy/RuleChecker.java
@@ -87,8 +87,8 @@
   }
 
   @Override
-  public void send(String requestId, long server, double timeout) {
-    super.send(requestId, server, timeout);
+  public void send(String requestId, long server, double within) {
+    super.send(requestId, server, within);
     Tracked t = requests.get(requestId);
     ServerEntry to = servers.get(server);
     if (t.over) {
@@ -123,6 +123,9 @@
         if (!same || now > first.sentAt + t.type.repeatWindow()) {
           breaches.add("rule 2: keyed request sent where or when repeats are not dropped");
         }
+        if (now + within > first.sentAt + t.type.repeatWindow()) {
+          breaches.add("rule 2: keyed request that may wait until repeats are not dropped");
+        }
       }
     }
     t.attempts.add(new Attempt(server, now));
@@ -144,11 +147,14 @@
   public void refuse(String requestId, double retryAfter) {
     super.refuse(requestId, retryAfter);
     Tracked t = answered(requestId);
-    boolean mayHaveRun = t.attempts.stream().anyMatch(a -> a.out || a.mayHaveRun);
+    Attempt first = t.attempts.stream().filter(a -> a.out || a.mayHaveRun).findFirst().orElse(null);
     boolean harmless =
-        t.type.effect() == Settings.Effect.SAFE
-            || (t.type.effect() == Settings.Effect.KEYED && t.type.group() == Settings.Group.ALL);
-    if (mayHaveRun && !harmless) {
+        first == null
+            || t.type.effect() == Settings.Effect.SAFE
+            || (t.type.effect() == Settings.Effect.KEYED
+                && t.type.group() == Settings.Group.ALL
+                && now < first.sentAt + t.type.repeatWindow());
+    if (!harmless) {
       breaches.add("rule 2: refused what may have run");
     }
   }
--- a/core/src/test/java/shalepaddle/policy/RulesTest.java
+++ b/core/src/test/java/shalepaddle/policy/RulesTest.java
@@ -202,6 +202,24 @@
         world.breaches);
   }
 
+  @Test
+  void checkerCatchesARepeatThatMayWaitForTooLong() {
+    RuleChecker world = planted();
+    world.arrives(Rig.request("x", "k", "all", 3));
+    world.send("x", 1, Double.POSITIVE_INFINITY);
+    world.ends("x", 0, Outcome.Result.RESET);
+    world.now += 0.5;
+    world.send("x", 1, 0.6);
+    world.ends("x", 1, Outcome.Result.RESET);
+    world.now += 0.6;
+    world.refuse("x", 0);
+    assertEquals(
+        List.of(
+            "rule 2: keyed request that may wait until repeats are not dropped",
+            "rule 2: refused what may have run"),
+        world.breaches);
+  }
+
   @Test
   void checkerCatchesASendToADrainingServer() {
     RuleChecker world = planted();
--- a/engine/src/main/java/shalepaddle/engine/Attempt.java
+++ b/engine/src/main/java/shalepaddle/engine/Attempt.java
@@ -28,6 +28,14 @@
 
   Timers.Timer timeout;
 
+  /** Ends it unless it has been written whole by then; null where it may be written at any time. */
+  Timers.Timer unwritten;
+
+  /** By when it must be written whole, where that is bounded. */
+  private final boolean bounded;
+
+  private final long writeBy;
+
   /** What is written to the server, in the words of somebody who waits for the answer. */
   public Call call;
 
@@ -52,6 +60,7 @@
       long server,
       long sentAt,
       long deadlineNanos,
+      double within,
       long stoodBefore) {
     this.request = request;
     this.call = request.bearer;
@@ -60,6 +69,18 @@
     this.sentAt = sentAt;
     this.deadlineNanos = deadlineNanos;
     this.stoodBefore = stoodBefore;
+    this.bounded = Double.isFinite(within);
+    this.writeBy = bounded ? sentAt + (long) (within * 1e9) : 0;
+  }
+
+  /** Nanoseconds in which it must be written whole; the greatest number where any time will do. */
+  long writeWithin(long now) {
+    return bounded ? writeBy - now : Long.MAX_VALUE;
+  }
+
+  /** Whether it must not be written any more: it could take effect a second time. */
+  public boolean tooLate(long now) {
+    return writeWithin(now) <= 0;
   }
 
   /** Whether it may have been carried out, or may yet be. */
--- a/engine/src/main/java/shalepaddle/engine/Dispatcher.java
+++ b/engine/src/main/java/shalepaddle/engine/Dispatcher.java
@@ -20,7 +20,6 @@
 import shalepaddle.model.Outcome;
 import shalepaddle.model.Request;
 import shalepaddle.model.Settings;
-import shalepaddle.overload.Intake;
 import shalepaddle.overload.OverloadControl;
 import shalepaddle.policy.Actions;
 import shalepaddle.policy.Balancer;
@@ -39,18 +38,6 @@
   /** How often requests are looked through for overdue ones after the module has failed. */
   private static final long RESCUE_MILLIS = 10;
 
-  /**
-   * How long one turn of the event loop begins requests, before those that it has read wait for the
-   * next. Guards against turns so long that no answer, timer or new request is looked at meanwhile.
-   */
-  private static final long TURN_NANOS = 3_000_000;
-
-  /** Requests that wait for a turn at most. */
-  private static final int MAX_WAITING = 1024;
-
-  /** A request that waits for its turn. */
-  private record Waiting(Exchange exchange, Request taken) {}
-
   /** Something that has happened, to be told to the module. */
   private interface Event {
     void tell(double now);
@@ -65,7 +52,7 @@
   private final Log log;
   private final Balancer balancer;
   private final OverloadControl overload;
-  private Intake<Waiting> intake;
+  private final Entrance entrance;
   private final Figures figures = new Figures();
 
   /** Null where reads are not joined. */
@@ -89,11 +76,6 @@
   private boolean telling;
   private boolean rescuing;
 
-  /** The turn in which requests were begun last, and since when. */
-  private long turn = -1;
-
-  private long turnSince;
-
   /** The way to the servers and the source of their list, from {@link #start} on. */
   private Upstream upstream;
 
@@ -120,9 +102,9 @@
       OverloadControl overload,
       JoiningTuning joining) {
     this.overload = overload;
-    this.intake = overload.intake(MAX_WAITING, this::turnAway);
     this.loop = loop;
     this.loopClock = loopClock;
+    this.entrance = new Entrance(loop, loopClock, overload, this::begin, this::turnAway);
     this.clock = clock;
     this.settings = settings;
     this.log = log;
@@ -143,12 +125,7 @@
    * keeps those under which it was taken: it is begun first, since it lies by the old tiers.
    */
   public void retune(Settings next) {
-    long now = loopClock.now();
-    for (Waiting waiting = intake.poll(now); waiting != null; waiting = intake.poll(now)) {
-      begin(waiting, now);
-    }
-    overload.retune(next);
-    intake = overload.intake(MAX_WAITING, this::turnAway);
+    entrance.retune(next);
     settings = next;
     figures.name(names(next));
     if (reads != null) {
@@ -308,7 +285,7 @@
   void start(Exchange request, Request taken) {
     // Guards against deciding, right after a pause, on what was known before it, and against
     // writing to connections whose end waits to be read.
-    loopClock.whenCaughtUp(() -> enter(request, taken));
+    loopClock.whenCaughtUp(() -> entrance.enter(request, taken));
   }
 
   /** Gives an exchange, and the attempts that are out for it, more time. */
@@ -350,63 +327,14 @@
         : new Reply.Refused(overload.advice());
   }
 
-  /** Begins a request now, or lets it wait where this turn has begun as many as it should. */
-  private void enter(Exchange request, Request taken) {
-    long now = loopClock.now();
-    if (intake.size() == 0 && !turnSpent(now)) {
-      begin(request, taken);
-      return;
-    }
-    if (intake.size() == 0) {
-      beginLater();
-    }
-    intake.offer(
-        new Waiting(request, taken), overload.tier(taken.serviceClass(), taken.repeat()), now);
-  }
-
-  private boolean turnSpent(long now) {
-    if (turn != loopClock.turn()) {
-      turn = loopClock.turn();
-      turnSince = now;
-    }
-    return now - turnSince > TURN_NANOS;
-  }
-
-  /** Begins what waits, for as long as one turn may; the event loop then reads before the rest. */
-  private void beginWaiting() {
-    long since = loopClock.now();
-    long now = since;
-    while (now - since <= TURN_NANOS) {
-      Waiting next = intake.poll(now);
-      if (next == null) {
-        return;
-      }
-      begin(next, now);
-      now = loopClock.now();
-    }
-    if (intake.size() > 0) {
-      beginLater();
-    }
-  }
-
-  private void begin(Waiting next, long now) {
-    double left = (next.exchange().deadlineNanos - now) / 1e9;
-    begin(next.exchange(), next.taken().within(Math.max(0, left)));
-  }
-
-  /** In the next turn: what is executed at once runs in this one, before anything more is read. */
-  private void beginLater() {
-    loop.schedule(this::beginWaiting, 1, TimeUnit.NANOSECONDS);
-  }
-
   /** Refuses what has waited too long: it has not been begun, so that a new try does no harm. */
-  private void turnAway(Waiting waiting) {
-    end(waiting.exchange(), new Reply.Refused(overload.advice()));
+  private void turnAway(Exchange request) {
+    end(request, new Reply.Refused(overload.advice()));
   }
 
   /** Nanoseconds for which a request has waited for its turn, 0 if none waits. */
   public long oldestWaiting() {
-    return intake.oldest(loopClock.now());
+    return entrance.oldestWaiting();
   }
 
   private void begin(Exchange request, Request taken) {
@@ -469,7 +397,7 @@
       return;
     }
     closed = true;
-    intake.clear();
+    entrance.close();
     answerOpen();
     members.stop();
     timers.close();
@@ -523,6 +451,9 @@
   /** An attempt's last byte was handed to the socket: from now on it may run. */
   public void written(Attempt attempt) {
     attempt.written = true;
+    if (attempt.unwritten != null) {
+      attempt.unwritten.cancel();
+    }
     figures.forwarded();
   }
 
@@ -537,6 +468,7 @@
     }
     request.rewritten++;
     attempt.written = false;
+    bound(attempt, loopClock.now());
     return true;
   }
 
@@ -555,6 +487,9 @@
     if (attempt.timeout != null) {
       attempt.timeout.cancel();
     }
+    if (attempt.unwritten != null) {
+      attempt.unwritten.cancel();
+    }
     Exchange request = attempt.request;
     double elapsed = (loopClock.look() - attempt.sentAt) / 1e9;
     double unheard = (loopClock.stood() - attempt.stoodBefore) / 1e9;
@@ -656,7 +591,7 @@
   // What the module decides.
 
   @Override
-  public void send(String requestId, long server, double timeout) {
+  public void send(String requestId, long server, double within) {
     if (reliving) {
       return;
     }
@@ -666,23 +601,41 @@
       return;
     }
     long now = loopClock.now();
-    long latest = request.deadlineNanos - ANSWER_MARGIN_NANOS;
-    long deadline = timeout == 0 ? latest : Math.min(latest, now + (long) (timeout * 1e9));
+    long deadline = request.deadlineNanos - ANSWER_MARGIN_NANOS;
     Attempt attempt =
-        new Attempt(request, request.attempts.size(), server, now, deadline, loopClock.stood());
+        new Attempt(
+            request, request.attempts.size(), server, now, deadline, within, loopClock.stood());
     request.attempts.add(attempt);
     request.out++;
     // One with less than a tick would be given up in the tick in which it is sent.
-    boolean late = latest - now < tickNanos;
+    boolean late = deadline - now < tickNanos;
     boolean spent = attempt.number + request.rewritten >= request.maxAttempts;
     if (request.ended || spent || late) {
       ended(attempt, Outcome.Result.MOOT);
       return;
     }
     limit(attempt, now);
+    bound(attempt, now);
     loopClock.whenCaughtUp(() -> upstream.send(attempt));
   }
 
+  /** Sees to it that it is written whole while it may be, or not at all. */
+  private void bound(Attempt attempt, long now) {
+    if (attempt.writeWithin(now) < attempt.deadlineNanos - now) {
+      attempt.unwritten = timers.by(attempt.writeWithin(now), () -> giveBack(attempt));
+    }
+  }
+
+  /**
+   * It may not be written any more, wherever it waits, for a connection, a place or behind bytes
+   * that the kernel has not taken. That says nothing of its server, and nothing more may be sent.
+   */
+  public void giveBack(Attempt attempt) {
+    if (!attempt.written) {
+      withdraw(attempt, Outcome.Result.MOOT);
+    }
+  }
+
   private void limit(Attempt attempt, long now) {
     attempt.timeout =
         timers.by(attempt.deadlineNanos - now, () -> withdraw(attempt, Outcome.Result.TIMEOUT));
--- a/engine/src/main/java/shalepaddle/upstream/ServerConnection.java
+++ b/engine/src/main/java/shalepaddle/upstream/ServerConnection.java
@@ -160,9 +160,14 @@
     return !proven && !underWay.isEmpty();
   }
 
+  /** Writes an attempt, or gives it back if it may not be written any more. */
   void write(Attempt attempt) {
-    attempt.carrier = this;
     long now = clock.look();
+    if (attempt.tooLate(now)) {
+      dispatcher.giveBack(attempt);
+      return;
+    }
+    attempt.carrier = this;
     pause = underWay.isEmpty() ? now - usedAt : pause;
     underWay.add(attempt);
     awaited++;
@@ -209,6 +214,11 @@
     awaited--;
     // Guards against writing more behind an attempt that may never be answered.
     retire();
+    if (!attempt.written && attempt.tooLate(clock.look())) {
+      // The rest of it would go out once the kernel takes more; the others are worth less than
+      // that.
+      channel.close();
+    }
     if (overdue && heardAt - attempt.sentAt < 0) {
       pool.suspectSilence(attempt.sentAt);
     }
--- a/engine/src/main/java/shalepaddle/upstream/ServerPool.java
+++ b/engine/src/main/java/shalepaddle/upstream/ServerPool.java
@@ -11,6 +11,8 @@
 import shalepaddle.engine.Dispatcher;
 import shalepaddle.loop.LoopClock;
 import shalepaddle.model.Outcome;
+import shalepaddle.model.ServerEntry;
+import shalepaddle.model.Settings;
 
 /** This node's connections to one cache server. */
 public final class ServerPool {
@@ -55,6 +57,12 @@
   /** Whether the list says that the server wants nothing new. */
   private boolean leaving;
 
+  /** Where the list had the server last: in which group it drops repeats. Null before that. */
+  private ServerEntry entry;
+
+  /** Whether it has come into another group, and what was decided for the old one still waits. */
+  private boolean regrouped;
+
   ServerPool(
       Bootstrap bootstrap,
       ServerCodec codec,
@@ -73,16 +81,18 @@
   }
 
   /**
-   * The list has the server here, started at this time. Connections to another address, or older
-   * than the process, lead nowhere: they are not used again.
+   * The list has the server here. Connections to another address, or older than the process, lead
+   * nowhere: they are not used again.
    */
-  void listed(SocketAddress at, double startedAt, boolean leaving, double now) {
+  void listed(SocketAddress at, ServerEntry news, double now) {
     boolean moved = !at.equals(address);
-    this.leaving = leaving;
+    leaving = news.state() != ServerEntry.State.READY;
+    regrouped |= entry != null && !Settings.Group.CELL.holds(entry, news);
+    entry = news;
     address = at;
-    long started = clock.look() - (long) (Math.max(0, now - startedAt) * 1e9);
+    long started = clock.look() - (long) (Math.max(0, now - news.startedAt()) * 1e9);
     for (ServerConnection connection : List.copyOf(connections)) {
-      if (moved || (startedAt > 0 && connection.openedAt() - started < 0)) {
+      if (moved || (news.startedAt() > 0 && connection.openedAt() - started < 0)) {
         connection.retire();
       }
     }
@@ -101,11 +111,13 @@
   }
 
   /**
-   * What waits goes back if the server is to leave. Guards against what was decided on before that
-   * was known, and would go out after the grace: a place may come free as late as its time is up.
+   * What waits goes back if the server is to leave, or is in another group now. Guards against what
+   * was decided on before that was known, and would go out after the grace, or where its repeats
+   * are not dropped: a place may come free as late as its time is up.
    */
-  void handBackIfLeaving() {
-    if (leaving) {
+  void handBackUnfit() {
+    if (leaving || regrouped) {
+      regrouped = false;
       handBack();
     }
   }
@@ -280,7 +292,7 @@
 
   /** A connection may be used again: what waits longest may have it. */
   void free(ServerConnection connection) {
-    if (connection.load() == 0 && !waiting.isEmpty()) {
+    while (connection.load() == 0 && !waiting.isEmpty()) {
       connection.write(waiting.poll());
     }
     if (connecting == 0 && !waiting.isEmpty()) {
--- a/engine/src/main/java/shalepaddle/upstream/ServerPools.java
+++ b/engine/src/main/java/shalepaddle/upstream/ServerPools.java
@@ -64,8 +64,7 @@
           pools.computeIfAbsent(
               entry.id(),
               id -> new ServerPool(bootstrap, codec, limits, budget, dispatcher, member.address()));
-      boolean leaving = entry.state() != ServerEntry.State.READY;
-      pool.listed(member.address(), entry.startedAt(), leaving, now);
+      pool.listed(member.address(), entry, now);
     }
   }
 
@@ -82,7 +81,7 @@
         pool.vacate();
       }
     }
-    List.copyOf(pools.values()).forEach(ServerPool::handBackIfLeaving);
+    List.copyOf(pools.values()).forEach(ServerPool::handBackUnfit);
   }
 
   /** Whether the server is listed, or left out by an operator. */
--- a/engine/src/test/java/shalepaddle/node/LeavingServerTest.java
+++ b/engine/src/test/java/shalepaddle/node/LeavingServerTest.java
@@ -15,8 +15,8 @@
 import shalepaddle.testkit.ScriptedPeer;
 
 /**
- * What was decided on before a server was known to leave, and has not gone out by then: a place, or
- * a connection, may come free after the grace.
+ * What was decided on before a server was known to leave, or to be in another group, and has not
+ * gone out by then: a place, or a connection, may come free after the grace.
  */
 @Timeout(30)
 class LeavingServerTest {
@@ -49,18 +49,20 @@
       // The call.
     }
     int port = rig.cache.getLocalPort();
+    boolean moved = state.equals("moved");
     String list =
         "{\"version\":%d,\"full\":true,\"servers\":[%s,%s]}"
             .formatted(
                 version,
-                NodeRig.member("s-" + port, port, state),
+                NodeRig.member("s-" + port, port, moved ? "active" : state)
+                    .replace("\"cell\":0", moved ? "\"cell\":1" : "\"cell\":0"),
                 NodeRig.member("s-other", other.getLocalPort(), "active"));
     discovery.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
     discovery.write(NodeRig.chunk(list + "\n"));
   }
 
   @ParameterizedTest
-  @ValueSource(strings = {"leaving", "left", "active"})
+  @ValueSource(strings = {"leaving", "left", "moved", "active"})
   void whatWaitsForAPlaceGoesElsewhere(String state) throws Exception {
     rig = new NodeRig(CAPS.formatted(28, false, 1) + DOOR);
     client = rig.client().write(NodeRig.get("a1", 20_000));
--- a/simhost/src/main/java/shalepaddle/sim/ActionWriter.java
+++ b/simhost/src/main/java/shalepaddle/sim/ActionWriter.java
@@ -34,15 +34,13 @@
   }
 
   @Override
-  public void send(String requestId, long server, double timeout) {
+  public void send(String requestId, long server, double within) {
+    // The simulator sends at once.
     action(
         "PASS_ON",
         () -> {
           out.writeStringField("handle", requestId);
           out.writeNumberField("server", server);
-          if (timeout > 0) {
-            out.writeNumberField("max-wait", timeout);
-          }
         });
   }
 
