Scale tests: what each role costs in steps up to 430 nodes and one beyond

Each figure is fitted to a line, with the greatest distance from it. bin/shalepaddle scale prints them, writes JSON and a picture, refuses a size that does not fit before it runs, and ends with 1 if it used more than half of the machine's memory.

--- a/cli/src/main/java/shalepaddle/cli/Main.java
+++ b/cli/src/main/java/shalepaddle/cli/Main.java
@@ -30,6 +30,7 @@
       TryCommand.class,
       DayCommand.class,
       ClusterCommand.class,
+      ScaleCommand.class,
       Main.Serve.class,
       Main.SimHostCommand.class,
       Main.Rehearse.class
--- a/cli/src/test/java/shalepaddle/cli/CommandLineIT.java
+++ b/cli/src/test/java/shalepaddle/cli/CommandLineIT.java
@@ -9,11 +9,14 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
 
 /** The command line as people start it, from the built jar. */
 @Timeout(60)
@@ -40,12 +43,48 @@
     assertTrue(version.output().matches("shalepaddle \\d+\\.\\d+\\.\\d+\\S*\\n"), version.output());
     Ended help = run("--help");
     assertEquals(0, help.code());
-    for (String command : List.of("try", "day", "cluster", "serve", "simhost", "rehearse")) {
+    for (String command :
+        List.of("try", "day", "cluster", "scale", "serve", "simhost", "rehearse")) {
       assertTrue(help.output().contains("\n  " + command + " "), help.output());
       assertEquals(0, run(command, "--help").code());
     }
   }
 
+  @Test
+  void aSizeThatDoesNotFitIsRefusedBeforeTheRunWithItsFigure() throws Exception {
+    Ended ended = run("scale", "--nodes", "1000000");
+    assertEquals(2, ended.code(), ended.output());
+    assertTrue(ended.output().matches("(?s)scale: 1000000 nodes .* would take up to \\d+ MB.*"));
+    assertEquals(1, ended.output().lines().count(), ended.output());
+  }
+
+  @Test
+  void measuresASmallFleet(@TempDir Path folder) throws Exception {
+    Path json = folder.resolve("scale.json");
+    Path picture = folder.resolve("scale.png");
+    Ended ended =
+        run(
+            "scale",
+            "--nodes",
+            "4",
+            "--servers",
+            "8",
+            "--zones",
+            "2",
+            "--rate",
+            "500",
+            "--seconds",
+            "0.2",
+            "--json",
+            json.toString(),
+            "--picture",
+            picture.toString());
+    assertEquals(0, ended.code(), ended.output());
+    assertTrue(ended.output().contains("seed 1, "), ended.output());
+    assertTrue(Files.readString(json).contains("\"peakBytes\""));
+    assertTrue(Files.size(picture) > 1000);
+  }
+
   @Test
   void refusesWhatMakesNoSense() throws Exception {
     for (String[] words :
@@ -55,6 +94,9 @@
           {"try", "--rate", "fast"},
           {"try", "--servers", "0"},
           {"day", "--seeds", "9..1"},
+          {"scale", "--nodes", "0"},
+          {"scale", "--rate", "NaN"},
+          {"scale", "--role", "weather"},
           {"serve", "now"}
         }) {
       Ended ended = run(words);
--- /dev/null
+++ b/scale/src/main/java/shalepaddle/scale/Scale.java
@@ -0,0 +1,197 @@
+package shalepaddle.scale;
+
+import java.util.ArrayList;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.ToDoubleFunction;
+import shalepaddle.settings.FormatException;
+
+/** Measures each role in steps of its size, and fits slopes. */
+public final class Scale {
+  /** What can be measured. */
+  public enum Role {
+    /** The decisions of one node, as servers grow in number. */
+    DECISIONS,
+    /** The list of servers on its way to a node. */
+    LIST,
+    /** All nodes before all servers, as nodes grow in number and traffic stays. */
+    FLEET,
+    /** Discovery that is asked, as nodes grow in number. */
+    DISCOVERY
+  }
+
+  /** Calls a second that a discovery works through, by the sites known. */
+  private static final double[] CALLS = {2.5, 6};
+
+  private static final int READS = 20_000;
+
+  private final Size size;
+  private final HollowFleet.Parts parts;
+  private final long seed;
+  private final Consumer<String> progress;
+  private final List<Slope> slopes = new ArrayList<>();
+
+  private Scale(Size size, HollowFleet.Parts parts, long seed, Consumer<String> progress) {
+    this.size = size;
+    this.parts = parts;
+    this.seed = seed;
+    this.progress = progress;
+  }
+
+  /**
+   * Measures these roles up to this size and one step beyond.
+   *
+   * @param seconds of virtual time that count in each fleet, half as many more before and after
+   * @param progress gets a line for each step
+   */
+  public static List<Slope> measure(
+      Size size, Set<Role> roles, double seconds, long seed, Consumer<String> progress)
+      throws FormatException {
+    HollowFleet.Parts parts = new HollowFleet.Parts(1.5 * seconds, seconds, 2 * seconds);
+    Scale scale = new Scale(size, parts, seed, progress);
+    for (Role role : EnumSet.copyOf(roles)) {
+      switch (role) {
+        case DECISIONS -> scale.decisions();
+        case LIST -> scale.lists();
+        case FLEET -> scale.fleets();
+        case DISCOVERY -> scale.discoveries();
+      }
+    }
+    return List.copyOf(scale.slopes);
+  }
+
+  private Size withServers(int servers) {
+    return new Size(size.nodes(), servers, size.perSecond(), size.zones());
+  }
+
+  private void decisions() {
+    List<Integer> steps = size.serverSteps();
+    // Twice over: the first compiles.
+    for (int servers : steps) {
+      Size step = withServers(servers);
+      Decisions.measure(step, READS, actions -> Decisions.real(step, actions));
+    }
+    List<Decisions.Measured> measured = new ArrayList<>();
+    for (int servers : steps) {
+      Size step = withServers(servers);
+      Decisions.Measured one =
+          Decisions.measure(step, READS, actions -> Decisions.real(step, actions));
+      measured.add(one);
+      progress.accept(
+          "decisions  %4d servers  held %.2f us  missing %.2f us  list %.2f ms"
+              .formatted(servers, one.heldMicros(), one.missingMicros(), one.listMillis()));
+    }
+    fit("node", "decisions, held", "us/read", "servers", steps, measured, m -> m.heldMicros());
+    fit(
+        "node",
+        "decisions, missing",
+        "us/read",
+        "servers",
+        steps,
+        measured,
+        m -> m.missingMicros());
+    fit("node", "a new list taken in", "ms", "servers", steps, measured, m -> m.listMillis());
+  }
+
+  private void lists() throws FormatException {
+    List<Integer> steps = size.serverSteps();
+    for (int servers : steps) {
+      Lists.measure(withServers(servers));
+    }
+    List<Lists.Measured> measured = new ArrayList<>();
+    for (int servers : steps) {
+      Lists.Measured one = Lists.measure(withServers(servers));
+      measured.add(one);
+      progress.accept(
+          "list       %4d servers  %.0f bytes  read in %.0f us"
+              .formatted(servers, one.bytes(), one.readMicros()));
+    }
+    fit("node", "whole list", "bytes", "servers", steps, measured, m -> m.bytes());
+    fit("node", "whole list read", "us", "servers", steps, measured, m -> m.readMicros());
+  }
+
+  private void fleets() {
+    List<Integer> steps = size.nodeSteps();
+    HollowFleet.play(size.withNodes(steps.get(0)), new HollowFleet.Parts(0.5, 0.5, 0.5), seed);
+    List<HollowFleet.Counted> counted = new ArrayList<>();
+    for (int nodes : steps) {
+      HollowFleet.Counted one = HollowFleet.play(size.withNodes(nodes), parts, seed);
+      counted.add(one);
+      progress.accept(
+          ("fleet      %4d nodes  away %.2f%%  refused %.2f%%  missed %.1f%%  copies %.3f"
+                  + "  %.2f us a read  %.0f nodes a server  cold %.2f of its fall, %.0f callers"
+                  + "  %.0f kB a node")
+              .formatted(
+                  nodes,
+                  100 * one.awayPart(),
+                  100 * one.refusedPart(),
+                  100 * one.missPart(),
+                  one.copies(),
+                  one.microsPerRead(),
+                  one.nodesPerServer(),
+                  one.coldPart(),
+                  one.coldCallers(),
+                  one.bytesPerNode() / 1000));
+    }
+    String by = "nodes";
+    fit("node", "reads sent away from home", "part", by, steps, counted, c -> c.awayPart());
+    fit("node", "reads refused", "part", by, steps, counted, c -> c.refusedPart());
+    fit("node", "decisions within a fleet", "us/read", by, steps, counted, c -> c.microsPerRead());
+    fit("node", "heap", "bytes", by, steps, counted, c -> c.bytesPerNode());
+    fit("cache server", "copies of a key", "servers", by, steps, counted, c -> c.copies());
+    fit("cache server", "reads missed", "part", by, steps, counted, c -> c.missPart());
+    fit("cache server", "nodes that ask it", "nodes", by, steps, counted, c -> c.nodesPerServer());
+    fit("cache server", "cold, of its fall", "part", by, steps, counted, c -> c.coldPart());
+    fit("cache server", "new callers, cold", "nodes/s", by, steps, counted, c -> c.coldCallers());
+  }
+
+  private void discoveries() {
+    List<Integer> steps = size.nodeSteps();
+    for (double calls : CALLS) {
+      List<Asking.Counted> counted = new ArrayList<>();
+      for (int nodes : steps) {
+        Size step = size.withNodes(nodes);
+        Asking.Counted one = Asking.play(step, calls, seed, Asking.real(step));
+        counted.add(one);
+        progress.accept(
+            "discovery  %4d nodes  %.1f calls/s  half %.1f s  last %.1f s  %.1f calls a node"
+                .formatted(
+                    nodes, calls, one.medianSeconds(), one.lastSeconds(), one.callsPerNode()));
+      }
+      String at = " at %.1f calls/s".formatted(calls);
+      fit(
+          "discovery",
+          "last list after its return" + at,
+          "s",
+          "nodes",
+          steps,
+          counted,
+          c -> c.lastSeconds());
+      fit(
+          "discovery",
+          "calls a node" + at,
+          "calls",
+          "nodes",
+          steps,
+          counted,
+          c -> c.callsPerNode());
+    }
+  }
+
+  private <T> void fit(
+      String role,
+      String figure,
+      String unit,
+      String by,
+      List<Integer> steps,
+      List<T> measured,
+      ToDoubleFunction<T> value) {
+    List<Slope.Point> points = new ArrayList<>();
+    for (int i = 0; i < steps.size(); i++) {
+      points.add(new Slope.Point(steps.get(i), value.applyAsDouble(measured.get(i))));
+    }
+    slopes.add(Slope.fit(role, figure, unit, by, points));
+  }
+}
--- /dev/null
+++ b/scale/src/test/java/shalepaddle/scale/SlopeTest.java
@@ -0,0 +1,38 @@
+package shalepaddle.scale;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** The line through points, and what it says of them. */
+class SlopeTest {
+  private static Slope through(double... values) {
+    List<Slope.Point> points =
+        java.util.stream.IntStream.range(0, values.length)
+            .mapToObj(i -> new Slope.Point(1 << i, values[i]))
+            .toList();
+    return Slope.fit("node", "figure", "us", "servers", points);
+  }
+
+  @Test
+  void aLineIsFoundAgain() {
+    Slope line = through(5, 7, 11, 19);
+    assertEquals(2, line.slope(), 1e-9);
+    assertEquals(3, line.constant(), 1e-9);
+    assertEquals(0, line.noise(), 1e-9);
+    assertEquals(863, line.at(430), 1e-6);
+  }
+
+  @Test
+  void whatIsOffTheLineIsTold() {
+    assertEquals(0.4, through(1, 1, 5, 1).noise(), 0.3);
+  }
+
+  @Test
+  void thePowerTellsProportionalFromQuadratic() {
+    assertEquals(0, through(4, 4, 4).power(), 1e-9);
+    assertEquals(1, through(3, 6, 12).power(), 1e-9);
+    assertEquals(2, through(1, 4, 16).power(), 1e-9);
+  }
+}
