The feed's decisions, and its scale tests: what the few members send to every node

Need: nothing brings settings, an operator's words and purges to 430 nodes; the scale tests' other roles carry or have a way, this one is missing.

Change: a pure package feed in core.

Role FEED of the scale command plays both sides over a network that delays, loses, cuts one way and breaks. Off in the node: no class of it is loaded there.

--- /dev/null
+++ b/core/src/main/java/shalepaddle/feed/Publisher.java
@@ -0,0 +1,305 @@
+package shalepaddle.feed;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * What one member sends to the nodes that follow it.
+ *
+ * <p>A follower is a place in the log, and what is on its way to it: nothing is stored for it. One
+ * that is slow or has stopped is sent no more than {@link Limits#windowBytes} ahead of what it has
+ * taken, holds up nobody, and gets a snapshot once the entries that it lacks are not kept any more.
+ *
+ * <p>Not thread-safe: it belongs to whoever applies the log.
+ */
+public final class Publisher {
+  /** Bytes of entries that go in one message, but for a single larger one. */
+  private static final int BATCH_BYTES = 16 << 10;
+
+  /** Bytes that an entry takes beside its body, in memory and on its way. */
+  private static final int ENTRY_BYTES = 16;
+
+  /** Followers that are kept in mind for what they found wrong. */
+  private static final int MOST_WRONG = 1024;
+
+  /**
+   * What bounds a publisher.
+   *
+   * @param mostFollowers connections that are served
+   * @param mostBytes of entries that are kept for those that come back
+   * @param windowBytes that may be on their way to one follower
+   * @param aliveNanos after which a follower that was told nothing is told so
+   * @param silenceNanos after which one that has not taken what it was sent is dropped
+   * @param aloneNanos without a leader in sight, after which nobody is told that nothing is new
+   */
+  public record Limits(
+      int mostFollowers,
+      long mostBytes,
+      int windowBytes,
+      long aliveNanos,
+      long silenceNanos,
+      long aloneNanos) {
+    /** Those for a fleet of the size that is coming, and twice that. */
+    public static final Limits USUAL =
+        new Limits(1024, 8L << 20, 256 << 10, 250_000_000L, 5_000_000_000L, 2_500_000_000L);
+  }
+
+  /** Carries out what is decided. */
+  public interface Carrier {
+    /** Tells a follower; in the order of the calls, or not at all once it is dropped. */
+    void tell(long connection, Told told);
+
+    /** Closes a follower's connection, once what it was told has gone out. */
+    void drop(long connection);
+
+    /** The whole state, as of the last entry that was applied. */
+    byte[] image();
+  }
+
+  /** What has been sent and is not known to be taken. */
+  private record OnItsWay(long index, int bytes) {}
+
+  private static final class Session {
+    private final String name;
+    private final ArrayDeque<OnItsWay> out = new ArrayDeque<>();
+    private long sent;
+    private int outBytes;
+    private long toldAt;
+    private long takenAt;
+
+    Session(String name, long index, long now) {
+      this.name = name;
+      this.sent = index;
+      this.toldAt = now;
+      this.takenAt = now;
+    }
+  }
+
+  private final String group;
+  private final Limits limits;
+  private final Carrier carrier;
+  private final TreeMap<Long, FeedEntry> kept = new TreeMap<>();
+  private final Map<Long, Session> sessions = new LinkedHashMap<>();
+  private final Map<String, Said.Wrong> wrong = new HashMap<>();
+  private long keptBytes;
+
+  /** All entries behind this place are kept. */
+  private long base;
+
+  private long index;
+
+  /** Whether this member knows who leads, and since when it has not. */
+  private boolean led;
+
+  private long aloneSince;
+
+  /** A publisher of a log of which nothing is known yet. */
+  public Publisher(String group, long now, Limits limits, Carrier carrier) {
+    this.group = group;
+    this.aloneSince = now;
+    this.limits = limits;
+    this.carrier = carrier;
+  }
+
+  /**
+   * Whether this member knows who leads its group. Guards against followers of a member that is cut
+   * off from the others, which would hear that nothing is new while much is: after a while, in
+   * which an election may come to its end, they are sent on.
+   */
+  public void led(long now, boolean known) {
+    if (led && !known) {
+      aloneSince = now;
+    }
+    led = known;
+  }
+
+  private boolean alone(long now) {
+    return !led && now - aloneSince >= limits.aloneNanos();
+  }
+
+  /**
+   * An entry was applied here.
+   *
+   * @throws IllegalStateException if it is not behind the last one
+   */
+  public void applied(long now, FeedEntry entry) {
+    if (entry.index() <= index) {
+      throw new IllegalStateException("entry " + entry.index() + " after " + index);
+    }
+    index = entry.index();
+    kept.put(index, entry);
+    keptBytes += size(entry);
+    while (keptBytes > limits.mostBytes()) {
+      FeedEntry oldest = kept.pollFirstEntry().getValue();
+      keptBytes -= size(oldest);
+      base = oldest.index();
+    }
+    // A copy: what is told may end in a follower's being dropped.
+    List.copyOf(sessions.keySet()).forEach(connection -> feed(now, connection));
+  }
+
+  /** A snapshot took the place of all that was applied here. */
+  public void restored(long now, long at) {
+    if (at <= index) {
+      return;
+    }
+    kept.clear();
+    keptBytes = 0;
+    base = at;
+    index = at;
+    List.copyOf(sessions.keySet()).forEach(connection -> feed(now, connection));
+  }
+
+  /** A follower has said something on this connection. */
+  public void said(long now, long connection, Said said) {
+    Session session = sessions.get(connection);
+    if (said instanceof Said.Hello hello) {
+      if (session != null) {
+        turnDown(connection, "a second hello");
+      } else {
+        hello(now, connection, hello);
+      }
+    } else if (session == null) {
+      turnDown(connection, "speaks before it says who it is");
+    } else if (said instanceof Said.Taken taken) {
+      taken(now, connection, session, taken.index());
+    } else if (said instanceof Said.Wrong found
+        && (wrong.size() < MOST_WRONG || wrong.containsKey(session.name))) {
+      wrong.put(session.name, found);
+    }
+  }
+
+  private void hello(long now, long connection, Said.Hello hello) {
+    if (!hello.group().equals(group)) {
+      turnDown(
+          connection, "it follows group '%s', and this is '%s'".formatted(hello.group(), group));
+    } else if (sessions.size() >= limits.mostFollowers()) {
+      turnDown(connection, "as many follow this member as may");
+    } else if (alone(now)) {
+      turnDown(connection, "this member knows nobody who leads its group");
+    } else if (hello.index() > index) {
+      // It knows more than this member, which lags or has gone back in time: nothing older.
+      turnDown(
+          connection, "this member knows up to %d, less than %d".formatted(index, hello.index()));
+    } else {
+      sessions.put(connection, new Session(hello.name(), hello.index(), now));
+      feed(now, connection);
+      if (hello.index() == index) {
+        // That it lacks nothing is news to it.
+        tell(now, connection, sessions.get(connection), new Told.Alive(index), 0);
+      }
+    }
+  }
+
+  private void turnDown(long connection, String why) {
+    carrier.tell(connection, new Told.TurnedDown(why));
+    drop(connection);
+  }
+
+  private void drop(long connection) {
+    sessions.remove(connection);
+    carrier.drop(connection);
+  }
+
+  private void taken(long now, long connection, Session session, long upTo) {
+    session.takenAt = now;
+    while (!session.out.isEmpty() && session.out.peek().index <= upTo) {
+      session.outBytes -= session.out.poll().bytes;
+    }
+    feed(now, connection);
+  }
+
+  /** Sends what a follower lacks, as far as its window allows. */
+  private void feed(long now, long connection) {
+    Session session = sessions.get(connection);
+    while (session != null && session.sent < index && session.outBytes < limits.windowBytes()) {
+      if (session.sent < base) {
+        byte[] image = carrier.image();
+        session.sent = index;
+        tell(now, connection, session, new Told.Snapshot(index, image), image.length);
+      } else {
+        long after = session.sent;
+        List<FeedEntry> batch = new ArrayList<>();
+        int bytes = 0;
+        for (FeedEntry entry : kept.tailMap(after, false).values()) {
+          if (!batch.isEmpty() && bytes + size(entry) > BATCH_BYTES) {
+            break;
+          }
+          batch.add(entry);
+          bytes += size(entry);
+        }
+        session.sent = batch.get(batch.size() - 1).index();
+        tell(now, connection, session, new Told.Entries(after, batch), bytes);
+      }
+    }
+  }
+
+  private void tell(long now, long connection, Session session, Told told, int bytes) {
+    if (session.out.isEmpty()) {
+      // Until now it owed nothing.
+      session.takenAt = now;
+    }
+    if (bytes > 0) {
+      session.out.add(new OnItsWay(session.sent, bytes));
+      session.outBytes += bytes;
+    }
+    session.toldAt = now;
+    carrier.tell(connection, told);
+  }
+
+  private static int size(FeedEntry entry) {
+    return ENTRY_BYTES + entry.body().length;
+  }
+
+  /** A connection has ended. */
+  public void gone(long connection) {
+    sessions.remove(connection);
+  }
+
+  /** To be called several times in {@link Limits#aliveNanos}. */
+  public void tick(long now) {
+    for (long connection : List.copyOf(sessions.keySet())) {
+      Session session = sessions.get(connection);
+      if (session == null) {
+        continue;
+      }
+      if (alone(now)) {
+        turnDown(connection, "this member knows nobody who leads its group");
+      } else if (!session.out.isEmpty() && now - session.takenAt >= limits.silenceNanos()) {
+        drop(connection);
+      } else if (now - session.toldAt >= limits.aliveNanos()) {
+        tell(now, connection, session, new Told.Alive(session.sent), 0);
+      }
+    }
+  }
+
+  /** The last entry that was applied here. */
+  public long index() {
+    return index;
+  }
+
+  /** How many follow this member. */
+  public int followers() {
+    return sessions.size();
+  }
+
+  /** Bytes of entries that are kept. */
+  public long keptBytes() {
+    return keptBytes;
+  }
+
+  /** Bytes that are on their way to all followers. */
+  public long outBytes() {
+    return sessions.values().stream().mapToLong(session -> session.outBytes).sum();
+  }
+
+  /** What followers found wrong last, by their names. */
+  public Map<String, Said.Wrong> wrong() {
+    return Map.copyOf(wrong);
+  }
+}
--- /dev/null
+++ b/core/src/test/java/shalepaddle/feed/FollowerTest.java
@@ -0,0 +1,190 @@
+package shalepaddle.feed;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Test;
+
+/** What a node takes, and when it goes on to another member. */
+class FollowerTest {
+  private static final long MILLI = 1_000_000L;
+  private static final Follower.Pace PACE = Follower.Pace.USUAL;
+
+  private final List<String> acts = new ArrayList<>();
+  private long now = 1_000_000 * MILLI;
+  private final Follower follower =
+      new Follower(
+          "birds",
+          "n1",
+          3,
+          1,
+          now,
+          PACE,
+          new Follower.Carrier() {
+            @Override
+            public void connect(int member) {
+              acts.add("connect");
+            }
+
+            @Override
+            public void close() {
+              acts.add("close");
+            }
+
+            @Override
+            public void say(Said said) {
+              acts.add(said.toString());
+            }
+
+            @Override
+            public void apply(FeedEntry entry) {
+              acts.add("apply " + entry.index());
+            }
+
+            @Override
+            public void load(long index, byte[] image) {
+              acts.add("load " + index);
+            }
+
+            @Override
+            public void contact(boolean in) {
+              acts.add(in ? "in contact" : "out of contact");
+            }
+
+            @Override
+            public void turnedDown(int member, String why) {
+              acts.add("turned down: " + why);
+            }
+          });
+
+  private static Told entries(long after, long... indexes) {
+    return new Told.Entries(
+        after,
+        LongStream.of(indexes).mapToObj(index -> new FeedEntry(index, new byte[1])).toList());
+  }
+
+  /** What it has done since the last call of this. */
+  private List<String> acts() {
+    List<String> done = List.copyOf(acts);
+    acts.clear();
+    return done;
+  }
+
+  /** Lets so much time pass, in which it is called when it asks to be. */
+  private void pass(long millis) {
+    for (long end = now + millis * MILLI; now < end; now += MILLI) {
+      if (follower.nextDue() <= now) {
+        follower.tick(now);
+      }
+    }
+  }
+
+  private void followFrom(long index) {
+    pass(200);
+    follower.up(now);
+    follower.told(now, new Told.Snapshot(index, new byte[1]));
+    acts();
+  }
+
+  @Test
+  void saysHelloFromItsOwnPlace() {
+    pass(200);
+    follower.up(now);
+    assertEquals(List.of("connect", "Hello[group=birds, name=n1, index=0]"), acts());
+    follower.told(now, entries(0, 3, 5));
+    assertEquals(List.of("apply 3", "apply 5", "in contact"), acts());
+    pass(600);
+    assertEquals("Taken[index=5]", acts().get(0));
+  }
+
+  @Test
+  void takesAnEntryOnceAndNeverGoesBack() {
+    followFrom(5);
+    follower.told(now, entries(3, 4, 5, 7));
+    follower.told(now, entries(3, 4, 5, 7));
+    follower.told(now, new Told.Snapshot(6, new byte[1]));
+    assertEquals(List.of("apply 7"), acts());
+    assertEquals(7, follower.index());
+  }
+
+  @Test
+  void aHoleIsNotTakenAndAskedForAnew() {
+    followFrom(5);
+    follower.told(now, entries(7, 9));
+    assertEquals(List.of("close"), acts());
+    follower.told(now, entries(5, 7));
+    assertEquals(List.of(), acts(), "of the connection that it has left");
+    pass(200);
+    follower.up(now);
+    assertEquals(List.of("connect", "Hello[group=birds, name=n1, index=5]"), acts());
+  }
+
+  @Test
+  void aWordThatAllIsToldWhileSomethingLacksIsAHole() {
+    followFrom(5);
+    follower.told(now, new Told.Alive(6));
+    assertEquals(List.of("close"), acts());
+  }
+
+  @Test
+  void goesToAnotherMemberAfterSilenceAndSaysWhenItIsOutOfContact() {
+    followFrom(5);
+    final int first = follower.member();
+    pass(PACE.silenceNanos() / MILLI + 1);
+    assertTrue(acts().contains("close"));
+    assertTrue(follower.member() != first);
+    pass(PACE.lostNanos() / MILLI);
+    assertTrue(acts().contains("out of contact"));
+    assertFalse(follower.inContact());
+    follower.up(now);
+    follower.told(now, new Told.Alive(5));
+    assertTrue(follower.inContact());
+  }
+
+  @Test
+  void oneThatIsTurnedDownSaysWhyAndGoesOn() {
+    pass(200);
+    follower.up(now);
+    acts();
+    follower.told(now, new Told.TurnedDown("it follows group 'fish', and this is 'birds'"));
+    assertEquals(
+        List.of("turned down: it follows group 'fish', and this is 'birds'", "close"), acts());
+    assertEquals(0, follower.index());
+  }
+
+  /** What is read after the node stood still may be as old as that. */
+  @Test
+  void oneThatStoodStillBelievesNothingThatWaited() {
+    followFrom(5);
+    now += 3000 * MILLI;
+    follower.told(now, entries(5, 7));
+    assertEquals(List.of("out of contact", "close"), acts());
+    assertEquals(5, follower.index());
+  }
+
+  @Test
+  void triesFarApartWhereNobodyAnswers() {
+    int tries = 0;
+    for (int i = 0; i < 100; i++) {
+      pass(100);
+      if (acts().contains("connect")) {
+        tries++;
+        follower.down(now);
+        acts();
+      }
+    }
+    // A second at the most between two, half of it in the mean.
+    assertTrue(tries > 8 && tries < 40, "tries within 10 s: " + tries);
+  }
+
+  @Test
+  void tellsWhatIsWrongShortly() {
+    followFrom(5);
+    follower.wrong(5, "x".repeat(1000));
+    assertEquals(List.of("Wrong[index=5, what=" + "x".repeat(Said.MOST_TEXT) + "]"), acts());
+  }
+}
--- /dev/null
+++ b/core/src/test/java/shalepaddle/feed/PublisherTest.java
@@ -0,0 +1,201 @@
+package shalepaddle.feed;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** What a member sends whom. */
+class PublisherTest {
+  private static final long MILLI = 1_000_000L;
+
+  /** Two followers, 100 bytes that are kept, 50 on their way. */
+  private static final Publisher.Limits LIMITS =
+      new Publisher.Limits(2, 100, 50, 250 * MILLI, 5000 * MILLI, 2500 * MILLI);
+
+  private final List<String> told = new ArrayList<>();
+  private long now;
+  private final Publisher publisher =
+      new Publisher(
+          "birds",
+          0,
+          LIMITS,
+          new Publisher.Carrier() {
+            @Override
+            public void tell(long connection, Told what) {
+              told.add(connection + " " + text(what));
+            }
+
+            @Override
+            public void drop(long connection) {
+              told.add(connection + " dropped");
+            }
+
+            @Override
+            public byte[] image() {
+              return new byte[10];
+            }
+          });
+
+  private static String text(Told told) {
+    if (told instanceof Told.Entries entries) {
+      return entries.after() + " then " + entries.entries().stream().map(FeedEntry::index).toList();
+    }
+    if (told instanceof Told.Snapshot snapshot) {
+      return "snapshot " + snapshot.index();
+    }
+    return told instanceof Told.Alive alive
+        ? "alive " + alive.index()
+        : "turned down: " + ((Told.TurnedDown) told).why();
+  }
+
+  private List<String> told() {
+    List<String> all = List.copyOf(told);
+    told.clear();
+    return all;
+  }
+
+  private void hello(long connection, long index) {
+    publisher.led(now, true);
+    publisher.said(now, connection, new Said.Hello("birds", "n" + connection, index));
+  }
+
+  /** Entries of 4 bytes, which take 20 each. */
+  private void applied(long... indexes) {
+    for (long index : indexes) {
+      publisher.applied(now, new FeedEntry(index, new byte[4]));
+    }
+  }
+
+  @Test
+  void sendsWhatIsLackingAndThenEachEntryAsItComes() {
+    applied(3, 5);
+    hello(1, 3);
+    applied(8);
+    assertEquals(List.of("1 3 then [5]", "1 5 then [8]"), told());
+  }
+
+  @Test
+  void whoLacksNothingHearsThatItIsInContact() {
+    applied(3);
+    hello(1, 3);
+    assertEquals(List.of("1 alive 3"), told());
+    now += 250 * MILLI;
+    publisher.tick(now);
+    assertEquals(List.of("1 alive 3"), told());
+  }
+
+  @Test
+  void whoLacksWhatIsNotKeptGetsASnapshot() {
+    applied(1, 2, 3, 4, 5, 6, 7);
+    assertEquals(100, publisher.keptBytes());
+    hello(1, 1);
+    hello(2, 5);
+    assertEquals(List.of("1 snapshot 7", "2 5 then [6, 7]"), told());
+  }
+
+  @Test
+  void aSlowFollowerHoldsUpNobodyAndNoMemory() {
+    hello(1, 0);
+    hello(2, 0);
+    told();
+    for (long index = 1; index <= 40; index++) {
+      applied(index);
+      publisher.said(now, 2, new Said.Taken(index));
+    }
+    List<String> all = told();
+    assertEquals(40, all.stream().filter(line -> line.startsWith("2 ")).count());
+    assertEquals(3, all.stream().filter(line -> line.startsWith("1 ")).count(), all.toString());
+    assertTrue(publisher.outBytes() <= 50 + 20, "on their way: " + publisher.outBytes());
+    assertEquals(100, publisher.keptBytes());
+    // It goes on with a snapshot, since what it lacks is not kept any more.
+    publisher.said(now, 1, new Said.Taken(3));
+    assertEquals(List.of("1 snapshot 40"), told());
+  }
+
+  @Test
+  void oneThatTakesNothingIsDropped() {
+    hello(1, 0);
+    applied(1);
+    told();
+    now += 4999 * MILLI;
+    publisher.tick(now);
+    assertEquals(List.of("1 alive 1"), told());
+    now += MILLI;
+    publisher.tick(now);
+    assertEquals(List.of("1 dropped"), told());
+    assertEquals(0, publisher.followers());
+  }
+
+  @Test
+  void turnsDownWhomItCanNotServe() {
+    applied(3);
+    publisher.led(now, true);
+    publisher.said(now, 7, new Said.Taken(3));
+    publisher.said(now, 8, new Said.Hello("fish", "n8", 0));
+    hello(9, 4);
+    assertEquals(
+        List.of(
+            "7 turned down: speaks before it says who it is",
+            "7 dropped",
+            "8 turned down: it follows group 'fish', and this is 'birds'",
+            "8 dropped",
+            "9 turned down: this member knows up to 3, less than 4",
+            "9 dropped"),
+        told());
+    hello(1, 3);
+    hello(2, 3);
+    told();
+    hello(3, 3);
+    hello(1, 3);
+    assertEquals(
+        List.of(
+            "3 turned down: as many follow this member as may",
+            "3 dropped",
+            "1 turned down: a second hello",
+            "1 dropped"),
+        told());
+  }
+
+  @Test
+  void whoKnowsNobodyThatLeadsSendsFollowersOnAfterAWhile() {
+    hello(1, 0);
+    publisher.led(now, false);
+    told();
+    now += 2400 * MILLI;
+    publisher.tick(now);
+    assertEquals(List.of("1 alive 0"), told());
+    now += 200 * MILLI;
+    publisher.tick(now);
+    assertEquals(
+        List.of("1 turned down: this member knows nobody who leads its group", "1 dropped"),
+        told());
+    publisher.said(now, 2, new Said.Hello("birds", "n2", 0));
+    assertTrue(told().get(0).startsWith("2 turned down"));
+    hello(2, 0);
+    assertEquals(List.of("2 alive 0"), told());
+  }
+
+  @Test
+  void aSnapshotOfTheGroupTakesThePlaceOfWhatWasKept() {
+    applied(1, 2);
+    hello(1, 2);
+    told();
+    publisher.restored(now, 50);
+    publisher.restored(now, 40);
+    assertEquals(List.of("1 snapshot 50"), told());
+    assertEquals(50, publisher.index());
+    assertThrows(IllegalStateException.class, () -> applied(50));
+  }
+
+  @Test
+  void whatFollowersFindWrongIsKnownByName() {
+    applied(3);
+    hello(1, 3);
+    publisher.said(now, 1, new Said.Wrong(3, "settings: 'classes' is missing"));
+    assertEquals("settings: 'classes' is missing", publisher.wrong().get("n1").what());
+  }
+}
--- a/daemon/src/test/java/shalepaddle/daemon/ArchitectureTest.java
+++ b/daemon/src/test/java/shalepaddle/daemon/ArchitectureTest.java
@@ -27,7 +27,8 @@
     "shalepaddle.policy..",
     "shalepaddle.overload..",
     "shalepaddle.joining..",
-    "shalepaddle.promises.."
+    "shalepaddle.promises..",
+    "shalepaddle.feed.."
   };
 
   private static final String[] DECISIONS_AND_JAVA =
--- a/scale/src/main/java/shalepaddle/scale/Scale.java
+++ b/scale/src/main/java/shalepaddle/scale/Scale.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.ToDoubleFunction;
+import shalepaddle.feed.Publisher;
 import shalepaddle.settings.FormatException;
 
 /** Measures each role in steps of its size, and fits slopes. */
@@ -19,9 +20,43 @@
     /** All nodes before all servers, as nodes grow in number and traffic stays. */
     FLEET,
     /** Discovery that is asked, as nodes grow in number. */
-    DISCOVERY
+    DISCOVERY,
+    /** The feed from a group of three members, as nodes grow in number. */
+    FEED
   }
 
+  /** What may befall the feed. */
+  private enum Weather {
+    WELL("all well", 0, -1),
+    LEADER("the leader's machine gone", 0, 0),
+    MEMBER("another member's machine gone", 0, 1),
+    LOSSY("1% lost", 0.01, -1);
+
+    private final String text;
+    private final double loss;
+
+    /** Which member vanishes. */
+    private final int vanishes;
+
+    Weather(String text, double loss, int vanishes) {
+      this.text = text;
+      this.loss = loss;
+      this.vanishes = vanishes;
+    }
+  }
+
+  /**
+   * Entries a second: the purges that the size that is coming asks for. Their bytes are assumed.
+   */
+  private static final double ENTRIES = 6;
+
+  private static final int BODY_BYTES = 120;
+
+  /** One way between two regions. */
+  private static final long BETWEEN_NANOS = 80_000_000;
+
+  private static final int FEED_SECONDS = 20;
+
   /** Calls a second that a discovery works through, by the sites known. */
   private static final double[] CALLS = {2.5, 6};
 
@@ -57,6 +92,7 @@
         case LIST -> scale.lists();
         case FLEET -> scale.fleets();
         case DISCOVERY -> scale.discoveries();
+        case FEED -> scale.feeds();
       }
     }
     return List.copyOf(scale.slopes);
@@ -180,6 +216,62 @@
     }
   }
 
+  private HollowFeed.Counted feed(int nodes, Weather weather) {
+    HollowFeed feed =
+        new HollowFeed(
+            new HollowFeed.Plan(
+                nodes,
+                3,
+                12,
+                BETWEEN_NANOS,
+                weather.loss,
+                ENTRIES,
+                BODY_BYTES,
+                FEED_SECONDS,
+                Publisher.Limits.USUAL,
+                HollowFeed.real(3),
+                seed));
+    if (weather.vanishes >= 0) {
+      feed.vanish(8_000_000_000L, weather.vanishes, 6_000_000_000L);
+    }
+    return feed.play(10_000_000_000L);
+  }
+
+  private void feeds() {
+    List<Integer> steps = size.nodeSteps();
+    feed(steps.get(steps.size() - 1), Weather.WELL);
+    for (Weather weather : Weather.values()) {
+      List<HollowFeed.Counted> counted = new ArrayList<>();
+      for (int nodes : steps) {
+        HollowFeed.Counted one = feed(nodes, weather);
+        counted.add(one);
+        progress.accept(
+            ("feed       %4d nodes  %s: half in %.3f s, 99%% in %.3f s, last %.3f s  %.0f bytes/s"
+                    + " a node  %.0f us/s a node, %.0f us/s a member  most on one %d  %s")
+                .formatted(
+                    nodes,
+                    weather.text,
+                    one.medianSeconds(),
+                    one.ninetyNinthSeconds(),
+                    one.lastSeconds(),
+                    one.bytesPerSecond(),
+                    one.nodeMicros(),
+                    one.memberMicros(),
+                    one.mostFollowers(),
+                    one.breaches()));
+      }
+      String by = "nodes";
+      String when = ", " + weather.text;
+      fit("feed", "half have it" + when, "s", by, steps, counted, c -> c.medianSeconds());
+      fit("feed", "99% have it" + when, "s", by, steps, counted, c -> c.ninetyNinthSeconds());
+      fit("feed", "last has it" + when, "s", by, steps, counted, c -> c.lastSeconds());
+      fit("node", "feed, both ways" + when, "bytes/s", by, steps, counted, c -> c.bytesPerSecond());
+      fit("node", "feed" + when, "us/s", by, steps, counted, c -> c.nodeMicros());
+      fit("member", "feed" + when, "us/s", by, steps, counted, c -> c.memberMicros());
+      fit("member", "followers" + when, "nodes", by, steps, counted, c -> c.mostFollowers());
+    }
+  }
+
   private <T> void fit(
       String role,
       String figure,
