Members feed the nodes that follow them: a port, a follower, and processes that show it

Need: the feed's decisions were played in virtual time alone; what matters is several processes with faults between them.

Each of the three was found while wiring and has a test. No class of it loads in the deployed node: JarIT looks at what does.

--- a/cli/src/main/java/shalepaddle/cli/ClusterCommand.java
+++ b/cli/src/main/java/shalepaddle/cli/ClusterCommand.java
@@ -38,6 +38,7 @@
       ClusterCommand.Status.class,
       ClusterCommand.Say.class,
       ClusterCommand.Held.class,
+      FollowCommand.class,
       ClusterCommand.Remove.class
     })
 final class ClusterCommand implements Callable<Integer> {
@@ -59,6 +60,10 @@
         description = "A member, and where it is found from here; once for each.")
     private Map<String, String> members = new LinkedHashMap<>();
 
+    String name() {
+      return group;
+    }
+
     Map<String, InetSocketAddress> addresses() throws FormatException {
       Map<String, InetSocketAddress> addresses = new TreeMap<>();
       for (var member : members.entrySet()) {
@@ -104,12 +109,12 @@
     }
   }
 
-  private interface Step {
+  interface Step {
     int run() throws IOException, FormatException, InterruptedException;
   }
 
   /** What is wrong with what was asked for ends with 2, what went wrong with 1. */
-  private static int told(String name, Step step) throws InterruptedException {
+  static int told(String name, Step step) throws InterruptedException {
     try {
       return step.run();
     } catch (FormatException | IllegalArgumentException e) {
@@ -170,6 +175,12 @@
     @Mixin private Group group;
     @Mixin private Own own;
 
+    @Option(
+        names = "--feed",
+        paramLabel = "IP:PORT",
+        description = "Where nodes may follow this member (default: nowhere).")
+    private String feed;
+
     @Override
     public Integer call() throws InterruptedException {
       return told(
@@ -177,6 +188,9 @@
           () -> {
             CountDownLatch end = new CountDownLatch(1);
             try (GroupMember member = new GroupMember(own.place(group), System.err::println)) {
+              if (feed != null) {
+                System.err.println("feeds on " + member.feed(MemberList.address(feed)));
+              }
               member.start(new Lines());
               System.err.println("listens on " + member.address());
               Runtime.getRuntime().addShutdownHook(new Thread(end::countDown));
--- a/cluster/src/main/java/shalepaddle/agreement/Agreement.java
+++ b/cluster/src/main/java/shalepaddle/agreement/Agreement.java
@@ -331,6 +331,11 @@
     return answered;
   }
 
+  /** What is held as far as it is applied here, perhaps less than at others; on its thread. */
+  public Promises.Image applied() {
+    return machine.promises().image();
+  }
+
   /** How a member comes and goes. One change at a time. */
   public enum Change {
     /** It hears all, and has no vote. */
--- a/cluster/src/main/java/shalepaddle/cluster/GroupMember.java
+++ b/cluster/src/main/java/shalepaddle/cluster/GroupMember.java
@@ -16,8 +16,10 @@
 import shalepaddle.agreement.NotHeldException;
 import shalepaddle.agreement.NotHeldException.Known;
 import shalepaddle.agreement.Standing;
+import shalepaddle.feed.Told;
 import shalepaddle.formats.MessageForms;
 import shalepaddle.formats.PromiseForms;
+import shalepaddle.links.FeedPort;
 import shalepaddle.links.MemberLinks;
 import shalepaddle.links.TurnedDownException;
 import shalepaddle.promises.Answer;
@@ -63,6 +65,9 @@
   private final MemberLinks links;
   private volatile Agreement agreement;
 
+  /** Null where no node follows this member. */
+  private FeedPort feed;
+
   /**
    * Opens the member's folder and listens; {@link #start} takes part.
    *
@@ -141,6 +146,47 @@
     }
   }
 
+  /**
+   * Lets nodes follow this member; to be called before {@link #start}.
+   *
+   * @return where it listens for them
+   * @throws IOException if it can not listen there
+   */
+  public InetSocketAddress feed(InetSocketAddress listen) throws IOException {
+    feed = new FeedPort(place.group(), listen, turns, this::state, log);
+    return feed.address();
+  }
+
+  private Told.Snapshot state() {
+    Promises.Image image = agreement.applied();
+    return new Told.Snapshot(image.index(), PromiseForms.image(image));
+  }
+
+  private Agreement.Listener fed(Agreement.Listener listener) {
+    if (feed == null) {
+      return listener;
+    }
+    return new Agreement.Listener() {
+      @Override
+      public void applied(long index, Proposal proposal, Answer answer) {
+        listener.applied(index, proposal, answer);
+        feed.applied(index, PromiseForms.proposal(proposal));
+      }
+
+      @Override
+      public void restored(Promises.Image image) {
+        listener.restored(image);
+        feed.restored(image.index());
+      }
+
+      @Override
+      public void changed(Standing now) {
+        listener.changed(now);
+        feed.led(now.leader() != null && now.steppedAside() == null);
+      }
+    };
+  }
+
   /** Where it listens. */
   public InetSocketAddress address() {
     return links.address();
@@ -172,7 +218,7 @@
             turns,
             (to, message) -> links.send(to, MessageForms.message(message)),
             System.nanoTime(),
-            listener);
+            fed(listener));
     agreement.start();
   }
 
@@ -418,6 +464,9 @@
   /** Takes no part any more. */
   @Override
   public void close() throws IOException {
+    if (feed != null) {
+      feed.close();
+    }
     links.close();
     if (agreement != null) {
       agreement.close();
--- /dev/null
+++ b/cluster/src/main/java/shalepaddle/links/FeedLink.java
@@ -0,0 +1,241 @@
+package shalepaddle.links;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import shalepaddle.feed.FeedEntry;
+import shalepaddle.feed.Follower;
+import shalepaddle.feed.Said;
+import shalepaddle.feed.Told;
+import shalepaddle.formats.FeedForms;
+import shalepaddle.formats.PromiseForms;
+import shalepaddle.promises.Answer;
+import shalepaddle.promises.Promises;
+import shalepaddle.promises.Proposal;
+
+/** A node that follows the members of a group, and holds what they hold. All on one event loop. */
+public final class FeedLink implements AutoCloseable {
+  /** Is told of what happens, on the event loop. */
+  public interface Listener {
+    /** An entry is in force, in the order of the log. */
+    void applied(long index, Proposal proposal, Answer answer);
+
+    /** A state took the place of all that was in force. */
+    void restored(Promises.Image image);
+
+    /** Whether the node is in contact has changed. */
+    void contact(boolean in);
+
+    /** A line for operators. */
+    void line(String text);
+  }
+
+  private final EventLoop loop;
+  private final List<InetSocketAddress> members;
+  private final Listener listener;
+  private final Promises held = new Promises();
+  private final Follower follower;
+  private Channel channel;
+  private boolean closed;
+
+  /** The tick that is due, by number: those before it are of no matter. */
+  private long ticks;
+
+  /**
+   * Begins to follow.
+   *
+   * @param name its own, in the members' eyes
+   * @param members where they listen for followers
+   * @param seed another one at each node
+   */
+  public FeedLink(
+      EventLoop loop,
+      String group,
+      String name,
+      List<InetSocketAddress> members,
+      long seed,
+      Listener listener) {
+    this.loop = loop;
+    this.members = List.copyOf(members);
+    this.listener = listener;
+    this.follower =
+        new Follower(
+            group, name, members.size(), seed, System.nanoTime(), Follower.Pace.USUAL, new Doing());
+    loop.execute(this::arm);
+  }
+
+  private void arm() {
+    if (closed) {
+      return;
+    }
+    long own = ++ticks;
+    loop.schedule(
+        () -> {
+          if (own == ticks && !closed) {
+            follower.tick(System.nanoTime());
+            arm();
+          }
+        },
+        Math.max(0, follower.nextDue() - System.nanoTime()),
+        TimeUnit.NANOSECONDS);
+  }
+
+  /** What is in force here, up to which place; on the event loop. */
+  public Promises.Image held() {
+    return held.image();
+  }
+
+  /** Whether it is in contact; on the event loop. */
+  public boolean inContact() {
+    return follower.inContact();
+  }
+
+  /** Up to which place it knows all; on the event loop. */
+  public long index() {
+    return follower.index();
+  }
+
+  /** Carries out what the follower decides. */
+  private final class Doing implements Follower.Carrier {
+    @Override
+    public void connect(int member) {
+      ChannelFuture opened =
+          new Bootstrap()
+              .group(loop)
+              .channel(NioSocketChannel.class)
+              .option(ChannelOption.TCP_NODELAY, true)
+              .option(
+                  ChannelOption.CONNECT_TIMEOUT_MILLIS,
+                  (int) (Follower.Pace.USUAL.connectNanos() / 1_000_000))
+              .handler(
+                  new ChannelInitializer<>() {
+                    @Override
+                    protected void initChannel(Channel made) {
+                      made.pipeline().addLast(new Frame.Decoder(), new Incoming());
+                    }
+                  })
+              .connect(members.get(member));
+      Channel made = opened.channel();
+      channel = made;
+      opened.addListener(
+          done -> {
+            if (channel != made) {
+              made.close();
+            } else if (done.isSuccess()) {
+              follower.up(System.nanoTime());
+              arm();
+            }
+          });
+      made.closeFuture()
+          .addListener(
+              gone -> {
+                if (channel == made) {
+                  channel = null;
+                  follower.down(System.nanoTime());
+                  arm();
+                }
+              });
+    }
+
+    @Override
+    public void close() {
+      Channel left = channel;
+      channel = null;
+      if (left != null) {
+        left.close();
+      }
+    }
+
+    @Override
+    public void say(Said said) {
+      if (channel != null) {
+        channel.writeAndFlush(
+            new Frame(Frame.Kind.FOLLOW, FeedForms.said(said)).write(channel.alloc()),
+            channel.voidPromise());
+      }
+    }
+
+    @Override
+    public void apply(FeedEntry entry) {
+      Proposal proposal;
+      try {
+        proposal = PromiseForms.proposal(entry.body());
+      } catch (IOException | IllegalArgumentException e) {
+        // The members passed it over as well; what was in force holds.
+        listener.line("entry " + entry.index() + " can't be read: " + e.getMessage());
+        follower.wrong(entry.index(), String.valueOf(e.getMessage()));
+        return;
+      }
+      listener.applied(entry.index(), proposal, held.apply(entry.index(), proposal));
+    }
+
+    @Override
+    public boolean load(long index, byte[] image) {
+      Promises.Image read;
+      try {
+        read = PromiseForms.image(image);
+      } catch (IOException | IllegalArgumentException e) {
+        listener.line("the state up to " + index + " can't be read: " + e.getMessage());
+        return false;
+      }
+      held.restore(read);
+      listener.restored(read);
+      return true;
+    }
+
+    @Override
+    public void contact(boolean in) {
+      listener.contact(in);
+    }
+
+    @Override
+    public void turnedDown(int member, String why) {
+      listener.line("the member at " + members.get(member) + " can't be followed: " + why);
+    }
+  }
+
+  private final class Incoming extends SimpleChannelInboundHandler<Frame> {
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, Frame frame) throws IOException {
+      if (frame.kind() != Frame.Kind.FEED) {
+        throw new IOException("a frame of kind " + frame.kind() + " out of place");
+      }
+      Told told = FeedForms.told(frame.body());
+      if (ctx.channel() == channel) {
+        follower.told(System.nanoTime(), told);
+        arm();
+      }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+      Throwable root = cause.getCause() == null ? cause : cause.getCause();
+      if (ctx.channel() == channel) {
+        listener.line("a member's words can't be read: " + root.getMessage());
+      }
+      ctx.close();
+    }
+  }
+
+  /** Follows nobody any more. */
+  @Override
+  public void close() {
+    loop.execute(
+        () -> {
+          closed = true;
+          if (channel != null) {
+            channel.close();
+          }
+        });
+  }
+}
--- /dev/null
+++ b/cluster/src/main/java/shalepaddle/links/FeedPort.java
@@ -0,0 +1,227 @@
+package shalepaddle.links;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import shalepaddle.agreement.Turns;
+import shalepaddle.feed.FeedEntry;
+import shalepaddle.feed.Publisher;
+import shalepaddle.feed.Said;
+import shalepaddle.feed.Told;
+import shalepaddle.formats.FeedForms;
+
+/**
+ * Where nodes follow a member. What is sent whom is decided on the member's thread ({@link
+ * Publisher}), which {@link #applied}, {@link #restored} and {@link #led} are called on; the bytes
+ * go on an event loop and a thread of their own.
+ */
+public final class FeedPort implements AutoCloseable {
+  /** A follower that has not said who it is by then is closed. */
+  private static final long HELLO_MILLIS = 2000;
+
+  private final MultiThreadIoEventLoopGroup loops;
+  private final Channel listening;
+  private final Turns turns;
+  private final Consumer<String> log;
+  private final Publisher publisher;
+
+  /** By number; on the member's thread alone. */
+  private final Map<Long, Channel> followers = new HashMap<>();
+
+  /** On the event loop alone. */
+  private long connections;
+
+  private int open;
+  private volatile boolean closed;
+
+  /**
+   * Listens for followers.
+   *
+   * @param group whose log it is
+   * @param snapshot the member's state, on its thread
+   * @throws IOException if it can not listen there
+   */
+  public FeedPort(
+      String group,
+      InetSocketAddress listen,
+      Turns turns,
+      Supplier<Told.Snapshot> snapshot,
+      Consumer<String> log)
+      throws IOException {
+    this.turns = turns;
+    this.log = log;
+    this.publisher =
+        new Publisher(group, turns.nanos(), Publisher.Limits.USUAL, new Telling(snapshot));
+    this.loops =
+        new MultiThreadIoEventLoopGroup(
+            1, new DefaultThreadFactory("feed", true), NioIoHandler.newFactory());
+    ChannelFuture bound =
+        new ServerBootstrap()
+            .group(loops)
+            .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(
+                new ChannelInitializer<>() {
+                  @Override
+                  protected void initChannel(Channel made) {
+                    accept(made);
+                  }
+                })
+            .bind(listen)
+            .awaitUninterruptibly();
+    if (!bound.isSuccess()) {
+      loops.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+      throw new IOException(
+          "cannot listen on " + listen + " for followers: " + bound.cause().getMessage());
+    }
+    listening = bound.channel();
+    turns.run(this::tick);
+  }
+
+  /** Where it listens. */
+  public InetSocketAddress address() {
+    return (InetSocketAddress) listening.localAddress();
+  }
+
+  private void accept(Channel made) {
+    if (open >= 2 * Publisher.Limits.USUAL.mostFollowers()) {
+      made.close();
+      return;
+    }
+    open++;
+    long number = ++connections;
+    made.closeFuture()
+        .addListener(
+            gone -> {
+              open--;
+              turns.run(
+                  () -> {
+                    followers.remove(number);
+                    publisher.gone(number);
+                  });
+            });
+    turns.run(() -> followers.put(number, made));
+    made.pipeline().addLast(new Frame.Decoder(), new Incoming(number));
+  }
+
+  private void tick() {
+    if (!closed) {
+      publisher.tick(turns.nanos());
+      turns.runIn(Publisher.Limits.USUAL.aliveNanos() / 4, this::tick);
+    }
+  }
+
+  /** An entry was applied at this member. */
+  public void applied(long index, byte[] body) {
+    publisher.applied(turns.nanos(), new FeedEntry(index, body));
+  }
+
+  /** A snapshot took the place of all that was applied at this member. */
+  public void restored(long index) {
+    publisher.restored(turns.nanos(), index);
+  }
+
+  /** Whether this member knows who leads its group. */
+  public void led(boolean known) {
+    publisher.led(turns.nanos(), known);
+  }
+
+  /** Carries out what the publisher decides, on the member's thread. */
+  private final class Telling implements Publisher.Carrier {
+    private final Supplier<Told.Snapshot> snapshot;
+
+    Telling(Supplier<Told.Snapshot> snapshot) {
+      this.snapshot = snapshot;
+    }
+
+    @Override
+    public void tell(long connection, Told told) {
+      Channel channel = followers.get(connection);
+      if (channel != null) {
+        channel.writeAndFlush(
+            new Frame(Frame.Kind.FEED, FeedForms.told(told)).write(channel.alloc()),
+            channel.voidPromise());
+      }
+    }
+
+    @Override
+    public void drop(long connection) {
+      Channel channel = followers.remove(connection);
+      if (channel != null) {
+        channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+      }
+    }
+
+    @Override
+    public Told.Snapshot snapshot() {
+      return snapshot.get();
+    }
+  }
+
+  /** One follower's bytes, on the event loop. */
+  private final class Incoming extends SimpleChannelInboundHandler<Frame> {
+    private final long number;
+    private boolean known;
+
+    Incoming(long number) {
+      this.number = number;
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext ctx) {
+      ctx.executor()
+          .schedule(
+              () -> {
+                if (!known) {
+                  ctx.close();
+                }
+              },
+              HELLO_MILLIS,
+              TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, Frame frame) throws IOException {
+      if (frame.kind() != Frame.Kind.FOLLOW) {
+        throw new IOException("a frame of kind " + frame.kind() + " out of place");
+      }
+      Said said = FeedForms.said(frame.body());
+      known = true;
+      turns.run(() -> publisher.said(turns.nanos(), number, said));
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+      if (ctx.channel().isActive()) {
+        Throwable root = cause.getCause() == null ? cause : cause.getCause();
+        log.accept(
+            "a follower at " + ctx.channel().remoteAddress() + " is closed: " + root.getMessage());
+      }
+      ctx.close();
+    }
+  }
+
+  @Override
+  public void close() {
+    closed = true;
+    loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+  }
+}
--- a/cluster/src/main/java/shalepaddle/links/Frame.java
+++ b/cluster/src/main/java/shalepaddle/links/Frame.java
@@ -25,7 +25,11 @@
     /** A question that wants an answer on the same connection. */
     ASK,
     /** The answer to one. */
-    ANSWER
+    ANSWER,
+    /** What a follower of the feed says. */
+    FOLLOW,
+    /** What a member tells its followers. */
+    FEED
   }
 
   static final int MOST_BYTES = 4 << 20;
--- a/core/src/main/java/shalepaddle/feed/Follower.java
+++ b/core/src/main/java/shalepaddle/feed/Follower.java
@@ -55,8 +55,12 @@
     /** An entry is in force from now on. */
     void apply(FeedEntry entry);
 
-    /** This state takes the place of all that was in force. */
-    void load(long index, byte[] image);
+    /**
+     * This state takes the place of all that was in force.
+     *
+     * @return false if it can't be read, and nothing has changed
+     */
+    boolean load(long index, byte[] image);
 
     /** Whether the node is in contact has changed. */
     void contact(boolean in);
@@ -232,8 +236,10 @@
     long before = index;
     if (told instanceof Told.Snapshot snapshot) {
       if (snapshot.index() > index) {
+        if (!carrier.load(snapshot.index(), snapshot.image())) {
+          return false;
+        }
         index = snapshot.index();
-        carrier.load(index, snapshot.image());
       }
     } else if (told instanceof Told.Entries entries) {
       if (entries.after() > index) {
--- a/core/src/main/java/shalepaddle/feed/Publisher.java
+++ b/core/src/main/java/shalepaddle/feed/Publisher.java
@@ -57,8 +57,8 @@
     /** Closes a follower's connection, once what it was told has gone out. */
     void drop(long connection);
 
-    /** The whole state, as of the last entry that was applied. */
-    byte[] image();
+    /** The whole state, as of the last entry that is in it. */
+    Told.Snapshot snapshot();
   }
 
   /** What has been sent and is not known to be taken. */
@@ -98,10 +98,11 @@
 
   private long aloneSince;
 
-  /** A publisher of a log of which nothing is known yet. */
+  /** A publisher of a log of which nothing is known yet; it serves once it knows who leads. */
   public Publisher(String group, long now, Limits limits, Carrier carrier) {
     this.group = group;
-    this.aloneSince = now;
+    // Whoever has just started does not know yet what it lacks.
+    this.aloneSince = now - limits.aloneNanos();
     this.limits = limits;
     this.carrier = carrier;
   }
@@ -219,9 +220,14 @@
     Session session = sessions.get(connection);
     while (session != null && session.sent < index && session.outBytes < limits.windowBytes()) {
       if (session.sent < base) {
-        byte[] image = carrier.image();
-        session.sent = index;
-        tell(now, connection, session, new Told.Snapshot(index, image), image.length);
+        Told.Snapshot snapshot = carrier.snapshot();
+        if (snapshot.index() < base || snapshot.index() <= session.sent) {
+          // It is applying its log anew: what is behind its state is not kept either.
+          turnDown(connection, "this member is catching up");
+          return;
+        }
+        session.sent = snapshot.index();
+        tell(now, connection, session, snapshot, snapshot.image().length);
       } else {
         long after = session.sent;
         List<FeedEntry> batch = new ArrayList<>();
--- a/core/src/test/java/shalepaddle/feed/FollowerTest.java
+++ b/core/src/test/java/shalepaddle/feed/FollowerTest.java
@@ -46,8 +46,9 @@
             }
 
             @Override
-            public void load(long index, byte[] image) {
+            public boolean load(long index, byte[] image) {
               acts.add("load " + index);
+              return image.length > 0;
             }
 
             @Override
@@ -130,6 +131,14 @@
     assertEquals(List.of("close"), acts());
   }
 
+  @Test
+  void aStateThatCanNotBeReadChangesNothing() {
+    followFrom(5);
+    follower.told(now, new Told.Snapshot(9, new byte[0]));
+    assertEquals(List.of("load 9", "close"), acts());
+    assertEquals(5, follower.index());
+  }
+
   @Test
   void goesToAnotherMemberAfterSilenceAndSaysWhenItIsOutOfContact() {
     followFrom(5);
--- a/core/src/test/java/shalepaddle/feed/PublisherTest.java
+++ b/core/src/test/java/shalepaddle/feed/PublisherTest.java
@@ -18,6 +18,10 @@
 
   private final List<String> told = new ArrayList<>();
   private long now;
+
+  /** Up to where the member's state goes. */
+  private long state;
+
   private final Publisher publisher =
       new Publisher(
           "birds",
@@ -35,8 +39,8 @@
             }
 
             @Override
-            public byte[] image() {
-              return new byte[10];
+            public Told.Snapshot snapshot() {
+              return new Told.Snapshot(state, new byte[10]);
             }
           });
 
@@ -66,6 +70,7 @@
   /** Entries of 4 bytes, which take 20 each. */
   private void applied(long... indexes) {
     for (long index : indexes) {
+      state = index;
       publisher.applied(now, new FeedEntry(index, new byte[4]));
     }
   }
@@ -97,6 +102,17 @@
     assertEquals(List.of("1 snapshot 7", "2 5 then [6, 7]"), told());
   }
 
+  @Test
+  void aStateThatIsBeingMadeAnewIsNoSnapshot() {
+    applied(1, 2, 3, 4, 5, 6, 7);
+    state = 1;
+    hello(1, 0);
+    assertEquals(List.of("1 turned down: this member is catching up", "1 dropped"), told());
+    state = 6;
+    hello(2, 0);
+    assertEquals(List.of("2 snapshot 6", "2 6 then [7]"), told());
+  }
+
   @Test
   void aSlowFollowerHoldsUpNobodyAndNoMemory() {
     hello(1, 0);
@@ -160,6 +176,12 @@
         told());
   }
 
+  @Test
+  void oneThatHasJustStartedServesNobody() {
+    publisher.said(now, 1, new Said.Hello("birds", "n1", 0));
+    assertTrue(told().get(0).startsWith("1 turned down: this member knows nobody who leads"));
+  }
+
   @Test
   void whoKnowsNobodyThatLeadsSendsFollowersOnAfterAWhile() {
     hello(1, 0);
@@ -184,6 +206,7 @@
     applied(1, 2);
     hello(1, 2);
     told();
+    state = 50;
     publisher.restored(now, 50);
     publisher.restored(now, 40);
     assertEquals(List.of("1 snapshot 50"), told());
--- a/daemon/src/test/java/shalepaddle/daemon/JarIT.java
+++ b/daemon/src/test/java/shalepaddle/daemon/JarIT.java
@@ -72,6 +72,8 @@
             .formatted(port));
     ProcessBuilder builder = DeployFile.command("run");
     builder.environment().put("ROUTER_CONFIG", config.toString());
+    Path classes = folder.resolve("classes");
+    builder.environment().put("JAVA_TOOL_OPTIONS", "-Xlog:class+load:file=" + classes);
     Process process = builder.start();
     try (Socket client = connect(port, process)) {
       client
@@ -99,6 +101,13 @@
       awaitLine(log, "drained");
     }
     assertTrue(process.waitFor(60, TimeUnit.SECONDS));
+    List<String> loaded = Files.readAllLines(classes);
+    assertTrue(loaded.stream().anyMatch(line -> line.contains(" shalepaddle.policy.Balancer ")));
+    // What is for groups is off in a node.
+    List<String> parts = List.of(" shalepaddle.feed.", " shalepaddle.promises.");
+    assertEquals(
+        List.of(),
+        loaded.stream().filter(line -> parts.stream().anyMatch(line::contains)).toList());
   }
 
   private static void awaitLine(BufferedReader log, String part) throws IOException {
--- a/scale/src/main/java/shalepaddle/scale/HollowFeed.java
+++ b/scale/src/main/java/shalepaddle/scale/HollowFeed.java
@@ -246,8 +246,8 @@
     }
 
     @Override
-    public byte[] image() {
-      return new byte[2000];
+    public Told.Snapshot snapshot() {
+      return new Told.Snapshot(publisher.index(), new byte[2000]);
     }
 
     void hearsOfEnd(Connection connection) {
@@ -398,8 +398,9 @@
     }
 
     @Override
-    public void load(long index, byte[] image) {
+    public boolean load(long index, byte[] image) {
       takes(index);
+      return true;
     }
 
     private void takes(long index) {
