--- a/engine/src/test/java/shalepaddle/node/ProcessorUseTest.java
+++ b/engine/src/test/java/shalepaddle/node/ProcessorUseTest.java
@@ -26,4 +26,17 @@
     assertTrue(eight.share(later) < share, "share of eight cores");
     assertEquals(share, half.share(later + 1), "as it was read last");
   }
+
+  /** The platform's own figure, asked before and after, has it between. */
+  @Test
+  void tellsWhatThePlatformTells() {
+    long before = platform();
+    long used = new ProcessorUse(1).used();
+    long after = platform();
+    assertTrue(before <= used && used <= after, before + " " + used + " " + after);
+  }
+
+  private static long platform() {
+    return ProcessHandle.current().info().totalCpuDuration().orElseThrow().toNanos();
+  }
 }
