One base for hollow actions, and a pool asks its entry whether its server leaves

Found on reading the change once more; nothing behaves otherwise. Three plays of the scale tests each had their own empty carrying-out of decisions (HollowActions now), a condition in Asking was always true, a timer's mark had no name, and ServerPool kept a flag beside the entry that it could be read from.

Checked: the scale module's tests, LeavingServerTest, LateRepeatTest, TurnedDownTest.

--- a/engine/src/main/java/shalepaddle/upstream/ServerPool.java
+++ b/engine/src/main/java/shalepaddle/upstream/ServerPool.java
@@ -54,10 +54,7 @@
   /** How often it was vacated: what was on its way then is not used. */
   private int vacations;
 
-  /** Whether the list says that the server wants nothing new. */
-  private boolean leaving;
-
-  /** Where the list had the server last: in which group it drops repeats. Null before that. */
+  /** What the list said of the server last, null before that. */
   private ServerEntry entry;
 
   /** Whether it has come into another group, and what was decided for the old one still waits. */
@@ -86,7 +83,6 @@
    */
   void listed(SocketAddress at, ServerEntry news, double now) {
     boolean moved = !at.equals(address);
-    leaving = news.state() != ServerEntry.State.READY;
     regrouped |= entry != null && !Settings.Group.CELL.holds(entry, news);
     entry = news;
     address = at;
@@ -116,12 +112,17 @@
    * are not dropped: a place may come free as late as its time is up.
    */
   void handBackUnfit() {
-    if (leaving || regrouped) {
+    if (leaving() || regrouped) {
       regrouped = false;
       handBack();
     }
   }
 
+  /** Whether the list says that the server wants nothing new. */
+  private boolean leaving() {
+    return entry != null && entry.state() != ServerEntry.State.READY;
+  }
+
   private void handBack() {
     for (Attempt attempt = waiting.poll(); attempt != null; attempt = waiting.poll()) {
       dispatcher.ended(attempt, Outcome.Result.CONNECT_FAILED);
@@ -273,7 +274,7 @@
   void turnedDown(Attempt attempt) {
     capped(Math.max(1, Math.min(cap(), live())), TURNED_DOWN_NANOS);
     // Never on one that it would have to open: the server may be left out by now.
-    ServerConnection best = leaving ? null : best();
+    ServerConnection best = leaving() ? null : best();
     if (best != null && !attempt.over && dispatcher.again(attempt)) {
       best.write(attempt);
     } else {
--- a/scale/src/main/java/shalepaddle/scale/Asking.java
+++ b/scale/src/main/java/shalepaddle/scale/Asking.java
@@ -118,7 +118,7 @@
             .told(now, new MembershipUpdate(MembershipUpdate.Kind.REMEMBERED, 1, known.entries()));
       } else if (event.token == FREE) {
         busy = false;
-        if (event.node >= 0 && !has[event.node]) {
+        if (!has[event.node]) {
           has[event.node] = true;
           had.add(now - BACK);
           feeds.get(event.node).told(now, known);
@@ -168,7 +168,7 @@
   }
 
   /** What one node's feed does. */
-  private final class Asks implements Actions {
+  private final class Asks extends HollowActions {
     private final int node;
 
     Asks(int node) {
@@ -186,20 +186,5 @@
     public void wake(long token, double delay) {
       events.add(new Event(now + delay, node, token));
     }
-
-    @Override
-    public void send(String requestId, long server, double within) {}
-
-    @Override
-    public void cancel(String requestId, int attempt) {}
-
-    @Override
-    public void refuse(String requestId, double retryAfter) {}
-
-    @Override
-    public void fail(String requestId) {}
-
-    @Override
-    public void closeIdle(long server) {}
   }
 }
--- a/scale/src/main/java/shalepaddle/scale/Decisions.java
+++ b/scale/src/main/java/shalepaddle/scale/Decisions.java
@@ -134,28 +134,10 @@
   }
 
   /** Notes where the read of the present slot goes. */
-  private final class Noted implements Actions {
+  private final class Noted extends HollowActions {
     @Override
     public void send(String requestId, long server, double within) {
       sentTo[slot] = server;
     }
-
-    @Override
-    public void cancel(String requestId, int attempt) {}
-
-    @Override
-    public void refuse(String requestId, double retryAfter) {}
-
-    @Override
-    public void fail(String requestId) {}
-
-    @Override
-    public void wake(long token, double delay) {}
-
-    @Override
-    public void subscribe(boolean on) {}
-
-    @Override
-    public void closeIdle(long server) {}
   }
 }
--- /dev/null
+++ b/scale/src/main/java/shalepaddle/scale/HollowActions.java
@@ -0,0 +1,29 @@
+package shalepaddle.scale;
+
+import shalepaddle.policy.Actions;
+
+/**
+ * Carries out nothing of what a hollow node decides; for what a play looks at, see who extends it.
+ */
+abstract class HollowActions implements Actions {
+  @Override
+  public void send(String requestId, long server, double within) {}
+
+  @Override
+  public void cancel(String requestId, int attempt) {}
+
+  @Override
+  public void refuse(String requestId, double retryAfter) {}
+
+  @Override
+  public void fail(String requestId) {}
+
+  @Override
+  public void wake(long token, double delay) {}
+
+  @Override
+  public void subscribe(boolean on) {}
+
+  @Override
+  public void closeIdle(long server) {}
+}
--- a/scale/src/main/java/shalepaddle/scale/HollowFleet.java
+++ b/scale/src/main/java/shalepaddle/scale/HollowFleet.java
@@ -13,7 +13,6 @@
 import shalepaddle.model.Outcome;
 import shalepaddle.model.Request;
 import shalepaddle.model.ServerEntry;
-import shalepaddle.policy.Actions;
 import shalepaddle.policy.Balancer;
 
 /**
@@ -37,6 +36,9 @@
   /** Timers of single requests, which all are answered in time here, are even and not zero. */
   private static final long HELD = 1;
 
+  /** No balancer sets it: the node hears of a change of the list. */
+  private static final long NEWS = Long.MIN_VALUE;
+
   /**
    * What was counted.
    *
@@ -193,8 +195,7 @@
     // Each node hears of it at a time of its own: a timer that no balancer has set.
     for (int node = 0; node < nodes.length; node++) {
       events.add(
-          new Event(
-              coldAt + random.nextDouble() * TOLD_WITHIN, node, null, -1, Long.MIN_VALUE, false));
+          new Event(coldAt + random.nextDouble() * TOLD_WITHIN, node, null, -1, NEWS, false));
     }
     run(parts.all());
   }
@@ -257,7 +258,7 @@
   }
 
   private void happens(Event event) {
-    if (event.token == Long.MIN_VALUE) {
+    if (event.token == NEWS) {
       nodes[event.node].membership(now, news);
       return;
     }
@@ -296,7 +297,7 @@
   }
 
   /** What one node's decisions lead to. */
-  private final class Carried implements Actions {
+  private final class Carried extends HollowActions {
     private final int node;
 
     Carried(int node) {
@@ -308,9 +309,6 @@
       sent.add(new Sent(node, requestId, numbers.get(id)));
     }
 
-    @Override
-    public void cancel(String requestId, int attempt) {}
-
     @Override
     public void refuse(String requestId, double retryAfter) {
       refused += counting ? 1 : 0;
@@ -327,12 +325,6 @@
         events.add(new Event(now + delay, node, null, -1, token, false));
       }
     }
-
-    @Override
-    public void subscribe(boolean on) {}
-
-    @Override
-    public void closeIdle(long server) {}
   }
 
   private void sentCold(int server, int node) {
