Followers get an entry's bytes as the log has them, not encoded anew

Found on reading the change once more: GroupMember encoded each applied proposal again for the feed. That is work done twice, and it was at the wrong depth: of an entry whose kind this member does not know, PromiseForms writes the kind's number alone, so that a follower of a later version would have got it without what it says. The machine hands on the bytes that it was given.

Left: a member that leads and does not know the kind still loses them, since Agreement.propose takes a Proposal and not its bytes; it was so before.

--- a/cli/src/main/java/shalepaddle/cli/ClusterCommand.java
+++ b/cli/src/main/java/shalepaddle/cli/ClusterCommand.java
@@ -206,7 +206,7 @@
     private String last = "";
 
     @Override
-    public void applied(long index, Proposal proposal, Answer answer) {}
+    public void applied(long index, byte[] body, Proposal proposal, Answer answer) {}
 
     @Override
     public void restored(Promises.Image image) {
--- a/cluster/src/main/java/shalepaddle/agreement/Agreement.java
+++ b/cluster/src/main/java/shalepaddle/agreement/Agreement.java
@@ -50,8 +50,12 @@
 public final class Agreement implements AutoCloseable {
   /** Is told of what happens, on the member's thread. */
   public interface Listener {
-    /** An entry of the log is held, and applied here; in the order of the log. */
-    void applied(long index, Proposal proposal, Answer answer);
+    /**
+     * An entry of the log is held, and applied here; in the order of the log.
+     *
+     * @param body its bytes as the log has them, with what a later version may have put into them
+     */
+    void applied(long index, byte[] body, Proposal proposal, Answer answer);
 
     /** A snapshot took the place of all that was applied. */
     void restored(Promises.Image image);
--- a/cluster/src/main/java/shalepaddle/agreement/PromiseMachine.java
+++ b/cluster/src/main/java/shalepaddle/agreement/PromiseMachine.java
@@ -48,7 +48,7 @@
     }
     Answer answer = promises.apply(index, proposal);
     if (index > told) {
-      listener.applied(index, proposal, answer);
+      listener.applied(index, bytes, proposal, answer);
     }
     return answer;
   }
--- a/cluster/src/main/java/shalepaddle/cluster/GroupMember.java
+++ b/cluster/src/main/java/shalepaddle/cluster/GroupMember.java
@@ -168,9 +168,9 @@
     }
     return new Agreement.Listener() {
       @Override
-      public void applied(long index, Proposal proposal, Answer answer) {
-        listener.applied(index, proposal, answer);
-        feed.applied(index, PromiseForms.proposal(proposal));
+      public void applied(long index, byte[] body, Proposal proposal, Answer answer) {
+        listener.applied(index, body, proposal, answer);
+        feed.applied(index, body);
       }
 
       @Override
--- a/cluster/src/test/java/shalepaddle/agreement/VirtualGroup.java
+++ b/cluster/src/test/java/shalepaddle/agreement/VirtualGroup.java
@@ -109,7 +109,7 @@
     }
 
     @Override
-    public void applied(long index, Proposal proposal, Answer answer) {
+    public void applied(long index, byte[] body, Proposal proposal, Answer answer) {
       String before = log.putIfAbsent(index, proposal.id());
       if (before != null && !before.equals(proposal.id())) {
         throw new AssertionError(
