Members' links and the feed's port listen by one piece; tests start processes by one

FeedPort had written MemberLinks' listening again, with its bound on connections (Listening now); FeedIT had ClusterIT's way of starting a process again (ClusterProcess), and LateRepeatTest the same beginning three times. No assertion changed.

--- a/cli/src/test/java/shalepaddle/cli/ClusterIT.java
+++ b/cli/src/test/java/shalepaddle/cli/ClusterIT.java
@@ -67,29 +67,14 @@
 
     /** Runs a command of the program for this machine, in whose words the others are links. */
     Process command(String word, List<String> began) throws IOException {
-      List<String> command =
-          new ArrayList<>(
-              List.of(
-                  "java",
-                  "-Xmx64m",
-                  "-XX:+UseSerialGC",
-                  "-XX:TieredStopAtLevel=1",
-                  "-jar",
-                  "cli/target/shalepaddle-cli.jar",
-                  "cluster",
-                  word,
-                  "--group",
-                  "g"));
+      List<String> command = new ArrayList<>(List.of(word, "--group", "g"));
       command.addAll(List.of("--name", name, "--folder", home.toString()));
       command.addAll(List.of("--listen", "127.0.0.1:" + port));
       for (String member : began) {
         int there = member.equals(name) ? port : links.get(member).address().getPort();
         command.addAll(List.of("--member", member + "=127.0.0.1:" + there));
       }
-      return new ProcessBuilder(command)
-          .redirectErrorStream(true)
-          .redirectOutput(ProcessBuilder.Redirect.appendTo(folder.resolve("log-" + name).toFile()))
-          .start();
+      return ClusterProcess.start(folder.resolve("log-" + name), command);
     }
 
     void signal(String signal) throws IOException, InterruptedException {
--- a/cli/src/test/java/shalepaddle/cli/FeedIT.java
+++ b/cli/src/test/java/shalepaddle/cli/FeedIT.java
@@ -55,23 +55,10 @@
 
   private Process run(String log, Map<String, InetSocketAddress> group, String... words)
       throws IOException {
-    List<String> command =
-        new ArrayList<>(
-            List.of(
-                "java",
-                "-Xmx64m",
-                "-XX:+UseSerialGC",
-                "-XX:TieredStopAtLevel=1",
-                "-jar",
-                "cli/target/shalepaddle-cli.jar",
-                "cluster"));
-    command.addAll(List.of(words));
+    List<String> command = new ArrayList<>(List.of(words));
     command.addAll(List.of("--group", "g"));
     group.forEach((name, at) -> command.addAll(List.of("--member", name + "=" + text(at))));
-    return new ProcessBuilder(command)
-        .redirectErrorStream(true)
-        .redirectOutput(ProcessBuilder.Redirect.appendTo(folder.resolve("log-" + log).toFile()))
-        .start();
+    return ClusterProcess.start(folder.resolve("log-" + log), command);
   }
 
   private String[] member(String word, String name, String... more) {
--- a/cluster/src/main/java/shalepaddle/links/FeedPort.java
+++ b/cluster/src/main/java/shalepaddle/links/FeedPort.java
@@ -1,17 +1,12 @@
 package shalepaddle.links;
 
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.nio.NioIoHandler;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -48,7 +43,6 @@
   /** On the event loop alone. */
   private long connections;
 
-  private int open;
   private volatile boolean closed;
 
   /**
@@ -72,27 +66,9 @@
     this.loops =
         new MultiThreadIoEventLoopGroup(
             1, new DefaultThreadFactory("feed", true), NioIoHandler.newFactory());
-    ChannelFuture bound =
-        new ServerBootstrap()
-            .group(loops)
-            .channel(NioServerSocketChannel.class)
-            .option(ChannelOption.SO_REUSEADDR, true)
-            .childOption(ChannelOption.TCP_NODELAY, true)
-            .childHandler(
-                new ChannelInitializer<>() {
-                  @Override
-                  protected void initChannel(Channel made) {
-                    accept(made);
-                  }
-                })
-            .bind(listen)
-            .awaitUninterruptibly();
-    if (!bound.isSuccess()) {
-      loops.shutdownGracefully(0, 0, TimeUnit.SECONDS);
-      throw new IOException(
-          "cannot listen on " + listen + " for followers: " + bound.cause().getMessage());
-    }
-    listening = bound.channel();
+    this.listening =
+        Listening.at(
+            loops, listen, "followers", 2 * Publisher.Limits.USUAL.mostFollowers(), this::accept);
     turns.run(this::tick);
   }
 
@@ -102,22 +78,15 @@
   }
 
   private void accept(Channel made) {
-    if (open >= 2 * Publisher.Limits.USUAL.mostFollowers()) {
-      made.close();
-      return;
-    }
-    open++;
     long number = ++connections;
     made.closeFuture()
         .addListener(
-            gone -> {
-              open--;
-              turns.run(
-                  () -> {
-                    followers.remove(number);
-                    publisher.gone(number);
-                  });
-            });
+            gone ->
+                turns.run(
+                    () -> {
+                      followers.remove(number);
+                      publisher.gone(number);
+                    }));
     turns.run(() -> followers.put(number, made));
     made.pipeline().addLast(new Frame.Decoder(), new Incoming(number));
   }
--- a/cluster/src/main/java/shalepaddle/links/MemberLinks.java
+++ b/cluster/src/main/java/shalepaddle/links/MemberLinks.java
@@ -1,16 +1,11 @@
 package shalepaddle.links;
 
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.nio.NioIoHandler;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -54,7 +49,6 @@
   private final String ofGroup;
   private final Words.Hello hello;
   private final Channel listening;
-  private int connections;
 
   /**
    * Links of a member.
@@ -74,37 +68,15 @@
         new MultiThreadIoEventLoopGroup(
             1, new DefaultThreadFactory("links", true), NioIoHandler.newFactory());
     loop = group.next();
-    listening = listen == null ? null : listen(listen);
-  }
-
-  private Channel listen(InetSocketAddress address) throws IOException {
-    ChannelFuture bound =
-        new ServerBootstrap()
-            .group(group)
-            .channel(NioServerSocketChannel.class)
-            .option(ChannelOption.SO_REUSEADDR, true)
-            .childOption(ChannelOption.TCP_NODELAY, true)
-            .childHandler(
-                new ChannelInitializer<>() {
-                  @Override
-                  protected void initChannel(Channel made) {
-                    if (connections >= MOST_CONNECTIONS) {
-                      made.close();
-                      return;
-                    }
-                    connections++;
-                    made.closeFuture().addListener(gone -> connections--);
-                    made.pipeline().addLast(new Frame.Decoder(), new Incoming());
-                  }
-                })
-            .bind(address)
-            .awaitUninterruptibly();
-    if (!bound.isSuccess()) {
-      group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
-      throw new IOException(
-          "cannot listen on " + address + " for the group: " + bound.cause().getMessage());
-    }
-    return bound.channel();
+    listening =
+        listen == null
+            ? null
+            : Listening.at(
+                group,
+                listen,
+                "the group",
+                MOST_CONNECTIONS,
+                made -> made.pipeline().addLast(new Frame.Decoder(), new Incoming()));
   }
 
   /** Where it listens, null for nowhere. */
--- a/engine/src/test/java/shalepaddle/node/LateRepeatTest.java
+++ b/engine/src/test/java/shalepaddle/node/LateRepeatTest.java
@@ -47,14 +47,19 @@
     assertTrue(line != null && line.contains("O" + id + " "), id + " is not next: " + line);
   }
 
+  private ScriptedPeer acceptsTheWrite() throws IOException {
+    ScriptedPeer cache = rig.acceptCache();
+    read(cache, "k1");
+    assertEquals("v", cache.line());
+    return cache;
+  }
+
   @Test
   void isNotWrittenOnceAPlaceComesFreeAfterTheWindow() throws Exception {
     rig = new NodeRig(SETTINGS.formatted(false, 1, WINDOW_MILLIS / 1000));
     ScriptedPeer writer = rig.client().write(NodeRig.put("k1", 20_000, "v"));
     final long since = System.nanoTime();
-    ScriptedPeer cache = rig.acceptCache();
-    read(cache, "k1");
-    assertEquals("v", cache.line());
+    ScriptedPeer cache = acceptsTheWrite();
     ScriptedPeer reader = rig.client().write(NodeRig.get("r1", 20_000));
     rig.settled();
     cache.reset();
@@ -73,9 +78,7 @@
     rig = new NodeRig(SETTINGS.formatted(true, 400, WINDOW_MILLIS / 1000));
     ScriptedPeer writer = rig.client().write(NodeRig.put("k1", 20_000, "v"));
     final long since = System.nanoTime();
-    ScriptedPeer cache = rig.acceptCache();
-    read(cache, "k1");
-    assertEquals("v", cache.line());
+    ScriptedPeer cache = acceptsTheWrite();
     int length = 4 << 20;
     String large = NodeRig.put("w1", 20_000, "v".repeat(length));
     ScriptedPeer other = rig.client().write(large.replace("c=put", "c=other"));
@@ -98,9 +101,7 @@
   void isWrittenInTimeWhereAPlaceComesFree() throws Exception {
     rig = new NodeRig(SETTINGS.formatted(false, 1, "10"));
     ScriptedPeer writer = rig.client().write(NodeRig.put("k1", 20_000, "v"));
-    ScriptedPeer cache = rig.acceptCache();
-    read(cache, "k1");
-    assertEquals("v", cache.line());
+    ScriptedPeer cache = acceptsTheWrite();
     ScriptedPeer reader = rig.client().write(NodeRig.get("r1", 20_000));
     rig.settled();
     cache.reset();
