--- a/testkit/src/main/java/shalepaddle/testkit/LoopbackTransport.java
+++ b/testkit/src/main/java/shalepaddle/testkit/LoopbackTransport.java
@@ -50,7 +50,15 @@
 
   /** Creates a transport over loopback sockets; its event loop must be one for NIO. */
   public static LoopbackTransport sockets(EventLoop loop) {
-    return new LoopbackTransport(loop, ByteBufAllocator.DEFAULT, false, channel -> {});
+    return sockets(loop, channel -> {});
+  }
+
+  /**
+   * Creates a transport over loopback sockets with an interceptor. Each accepted connection is
+   * passed to the interceptor before any other handler is in the pipeline.
+   */
+  public static LoopbackTransport sockets(EventLoop loop, Consumer<Channel> interceptor) {
+    return new LoopbackTransport(loop, ByteBufAllocator.DEFAULT, false, interceptor);
   }
 
   /**
@@ -134,6 +142,9 @@
             new ChannelInitializer<>() {
               @Override
               protected void initChannel(Channel channel) {
+                if (!inProcess) {
+                  interceptor.accept(channel);
+                }
                 onAccept.accept(channel);
               }
             })
