A copy of a rejection is not taken for the answer to the next request

Cause: a rejection carries no request id, so it was matched with the oldest attempt in flight by its place alone. A server that sends it a second time, some or hundreds of milliseconds later, thereby "rejected" whatever was written meanwhile. That counted as proof that the attempt had not run: it was sent elsewhere, or answered busy.

Change: InFlightAttempts takes a reply without an id as certain only if none of its kind preceded it on the connection and no attempt before it is in doubt. Later ones leave their attempt unconfirmed. A reply with an id settles what is before it: those attempts were answered by one of the replies without an id since they were written, so they were rejected if all of these are rejections, and may have run otherwise. No time is waited for. Until then an idempotent request is retried at once, a keyed one as after an attempt that may have run, any other one waits for its own reply or that proof. Attempts that need proof use connections without an earlier rejection first, and one new connection a second and server replaces an idle one; others use the former first, so that their replies confirm. Copies of any of the last 16 replies with an id no longer break a connection.

ServerConnectionRejectedTest.doesNotSendRequestAgainWhenConnectionStaysOpen asks its second request as a read: it checks that the connection is used again, and a write goes to a new one there now, which RepeatedReplyTest holds.

--- a/daemon/src/test/java/shalepaddle/daemon/RepeatedReplyIT.java
+++ b/daemon/src/test/java/shalepaddle/daemon/RepeatedReplyIT.java
@@ -151,6 +151,10 @@
     return new Traffic.RequestClass(name, share, true, name.equals("keyed"), DEADLINE_MILLIS, 16);
   }
 
+  private static Traffic.RequestClass reads(double share) {
+    return new Traffic.RequestClass("read", share, false, false, DEADLINE_MILLIS, 0);
+  }
+
   @ParameterizedTest
   @CsvSource({"put, 2, 12", "put, 100, 400", "keyed, 2, 12", "keyed, 100, 400"})
   void writeIsNotRepeatedAfterCopyOfEarlierRejection(
@@ -163,6 +167,20 @@
     assertTrue(farLink.sentCopies() > 50, "copies: " + farLink.sentCopies());
   }
 
+  @Test
+  void readIsInFlightOnceAfterCopyOfEarlierRejection() throws Exception {
+    startNode(false);
+    farLink.setCopies(new ServerLink.Copies("SERVER_ERROR busy", 1, 2, 12));
+    StandInClients clients = runClients(reads(1));
+    List<String> violations = new ArrayList<>(clients.violations());
+    for (String id : clients.endedRequestIds()) {
+      if (effectLog.entryOf(id).maxInFlight() > 1) {
+        violations.add(id + " was in flight twice");
+      }
+    }
+    assertEquals(List.of(), violations);
+  }
+
   /** Without copies a rejection costs a request nothing but its retry. */
   @Test
   void nearlyAllWritesAreServedWhenServersRejectOnce() throws Exception {
--- a/engine/src/main/java/shalepaddle/diagnostics/Event.java
+++ b/engine/src/main/java/shalepaddle/diagnostics/Event.java
@@ -16,6 +16,12 @@
   ATTEMPT_HEDGE("attempts"),
   ATTEMPT_WRITTEN(null),
   ATTEMPT_ENDED(null),
+
+  /** A server's reply without a request id may be a copy of an earlier one, or is confirmed. */
+  REPLY_UNCONFIRMED("server_replies"),
+  REPLY_CONFIRMED("server_replies"),
+  /** A server's reply is a copy of an earlier one. */
+  REPLY_DUPLICATE("server_replies"),
   ANSWERED(null),
   CLIENT_DISCONNECTED(null),
   LOOP_STALLED(null),
@@ -70,7 +76,7 @@
 
   /** Prefixes of event names that repeat the name of the event's metric. */
   private static final String[] METRIC_PREFIXES = {
-    "ATTEMPT_", "READ_PAUSE_", "REJECTED_", "CLOSE_", "VIOLATION_",
+    "ATTEMPT_", "REPLY_", "READ_PAUSE_", "REJECTED_", "CLOSE_", "VIOLATION_",
   };
 
   private static final List<Event> COUNTED_EVENTS =
--- a/engine/src/main/java/shalepaddle/engine/Attempt.java
+++ b/engine/src/main/java/shalepaddle/engine/Attempt.java
@@ -2,6 +2,7 @@
 
 import shalepaddle.loop.Timers;
 import shalepaddle.model.Outcome;
+import shalepaddle.model.Settings.Idempotency;
 
 /**
  * One attempt to serve a request by a cache server. Owned by the event loop: the engine ends it,
@@ -47,7 +48,6 @@
   /** Null while the attempt waits for a connection. */
   private Connection connection;
 
-  private boolean isAbandoned;
   private Timers.Timer responseTimer;
 
   /** Null if the attempt may be written at any time before its deadline. */
@@ -167,14 +167,12 @@
     return state == State.WRITTEN || state == State.ENDED;
   }
 
-  /** Records that the reply is no longer needed, though it may still be received. */
-  public void abandon() {
-    isAbandoned = true;
-  }
-
-  /** Whether {@link #abandon} was called. */
-  public boolean isAbandoned() {
-    return isAbandoned;
+  /**
+   * Whether a retry depends on the proof that this attempt has not run, or may not be sent while
+   * this attempt may still run.
+   */
+  public boolean needsProofOfRejection() {
+    return exchange.idempotency() != Idempotency.IDEMPOTENT || !exchange.allowsParallelAttempts();
   }
 
   /** Replaces the call that will be written, unless the attempt has a connection or has ended. */
--- a/engine/src/main/java/shalepaddle/engine/AttemptLifecycle.java
+++ b/engine/src/main/java/shalepaddle/engine/AttemptLifecycle.java
@@ -6,6 +6,7 @@
 import shalepaddle.model.LoadReport;
 import shalepaddle.model.Observation;
 import shalepaddle.model.Outcome;
+import shalepaddle.model.Settings.Idempotency;
 
 /**
  * The lifecycle of attempts, from the policy's decision to forward a request to the outcome
@@ -125,6 +126,49 @@
     end(attempt, reply.result(), reply.cacheStatus(), reply.load());
   }
 
+  /**
+   * Handles a reply without a request id that may be a copy of an earlier one. It ends the attempt
+   * only if the request may be repeated although the attempt may still run, or is not repeated
+   * after this result; otherwise a later reply ends it.
+   *
+   * @return whether the attempt has ended
+   */
+  boolean unconfirmedReplyReceived(Attempt attempt, ServerReply reply) {
+    if (attempt.isEnded()) {
+      return true;
+    }
+    Exchange exchange = attempt.exchange();
+    Outcome.Result result = resultOfUnconfirmed(exchange, reply.result());
+    if (result == null) {
+      recorder.record(Event.REPLY_UNCONFIRMED, exchange.id());
+      return false;
+    }
+    end(attempt, result, reply.cacheStatus(), reply.load());
+    return true;
+  }
+
+  /** The result that an unconfirmed reply proves, null if the attempt must not end by it. */
+  private static Outcome.Result resultOfUnconfirmed(Exchange exchange, Outcome.Result result) {
+    boolean isNotIdempotent = exchange.idempotency() == Idempotency.NOT_IDEMPOTENT;
+    if (result != Outcome.Result.SERVER_BUSY) {
+      return isNotIdempotent || exchange.allowsParallelAttempts() ? result : null;
+    }
+    if (isNotIdempotent || !exchange.allowsParallelAttempts()) {
+      return null;
+    }
+    return exchange.idempotency() == Idempotency.IDEMPOTENT
+        ? result
+        : Outcome.Result.MALFORMED_RESPONSE;
+  }
+
+  /** Ends an attempt whose unconfirmed reply was confirmed by a later one on its connection. */
+  void replyConfirmed(Attempt attempt, Outcome.Result result) {
+    if (!attempt.isEnded()) {
+      recorder.record(Event.REPLY_CONFIRMED, attempt.exchange().id(), result.name());
+      end(attempt, result);
+    }
+  }
+
   /**
    * Handles the head of a large value, which ends the attempt: from then on there is no deadline
    * and no further attempt.
--- a/engine/src/main/java/shalepaddle/engine/Dispatcher.java
+++ b/engine/src/main/java/shalepaddle/engine/Dispatcher.java
@@ -253,6 +253,25 @@
     attempts.responseReceived(attempt, reply);
   }
 
+  /**
+   * Handles a reply without a request id that may be a copy of an earlier one.
+   *
+   * @return whether the attempt has ended
+   */
+  public boolean unconfirmedReplyReceived(Attempt attempt, ServerReply reply) {
+    return attempts.unconfirmedReplyReceived(attempt, reply);
+  }
+
+  /** Counts a reply that is a copy of an earlier one. */
+  public void countDuplicateReply() {
+    recorder.count(Event.REPLY_DUPLICATE, 1);
+  }
+
+  /** Ends an attempt whose unconfirmed reply was confirmed by a later one on its connection. */
+  public void replyConfirmed(Attempt attempt, Outcome.Result result) {
+    attempts.replyConfirmed(attempt, result);
+  }
+
   /**
    * Handles the head of a large value, which ends its attempt.
    *
--- a/engine/src/main/java/shalepaddle/engine/Exchange.java
+++ b/engine/src/main/java/shalepaddle/engine/Exchange.java
@@ -31,6 +31,7 @@
   private final Call call;
   private final Settings.Idempotency idempotency;
   private final int maxAttempts;
+  private final boolean allowsParallelAttempts;
   private final List<Attempt> attempts = new ArrayList<>(1);
   private State state = State.ACCEPTED;
   private long clientDeadlineNanos;
@@ -47,6 +48,7 @@
    * @param clientDeadlineNanos when the client stops waiting, counted from the earliest time at
    *     which it can have sent the request
    * @param maxAttempts how many times the request may be written to servers
+   * @param allowsParallelAttempts whether an attempt may be sent while another may still run
    * @param idempotency the effect of running the request more than once
    */
   Exchange(
@@ -54,11 +56,13 @@
       long deadlineNanos,
       long clientDeadlineNanos,
       int maxAttempts,
+      boolean allowsParallelAttempts,
       Settings.Idempotency idempotency) {
     this.call = call;
     this.idempotency = idempotency;
     this.clientDeadlineNanos = clientDeadlineNanos;
     this.maxAttempts = maxAttempts;
+    this.allowsParallelAttempts = allowsParallelAttempts;
     this.upstreamCall = call;
     this.deadlineNanos = deadlineNanos;
   }
@@ -78,6 +82,11 @@
     return idempotency;
   }
 
+  /** Whether an attempt may be sent while another one may still run. */
+  boolean allowsParallelAttempts() {
+    return allowsParallelAttempts;
+  }
+
   /** When the client stops waiting, by the loop's clock. */
   long clientDeadlineNanos() {
     return clientDeadlineNanos;
--- a/engine/src/main/java/shalepaddle/engine/ExchangeLifecycle.java
+++ b/engine/src/main/java/shalepaddle/engine/ExchangeLifecycle.java
@@ -87,6 +87,7 @@
             deadlineNanos,
             clientDeadlineNanos,
             settings.maxAttempts(),
+            settings.allowsParallelAttempts(),
             settings.idempotency(call.request().serviceClass()));
     openExchanges.put(exchange.id(), exchange);
     return exchange;
--- a/engine/src/main/java/shalepaddle/engine/RequestIntake.java
+++ b/engine/src/main/java/shalepaddle/engine/RequestIntake.java
@@ -113,7 +113,12 @@
     recorder.record(reason, call.request().id());
     Exchange rejectedExchange =
         new Exchange(
-            call, clientDeadlineNanos, clientDeadlineNanos, 0, Settings.Idempotency.IDEMPOTENT);
+            call,
+            clientDeadlineNanos,
+            clientDeadlineNanos,
+            0,
+            true,
+            Settings.Idempotency.IDEMPOTENT);
     exchanges.end(rejectedExchange, new Reply.Rejected(retryAfterMillis));
     return rejectedExchange;
   }
--- a/engine/src/main/java/shalepaddle/engine/RequestSettings.java
+++ b/engine/src/main/java/shalepaddle/engine/RequestSettings.java
@@ -27,6 +27,11 @@
     return settings.limits().maxAttempts();
   }
 
+  /** Whether an attempt may be sent while another one of the same request may still run. */
+  boolean allowsParallelAttempts() {
+    return settings.limits().allowsParallelAttempts();
+  }
+
   /** The effect of repeating a request of this class; an unknown class is not idempotent. */
   Settings.Idempotency idempotency(String serviceClass) {
     for (Settings.ServiceClass knownClass : settings.services()) {
--- a/engine/src/main/java/shalepaddle/upstream/ServerConnection.java
+++ b/engine/src/main/java/shalepaddle/upstream/ServerConnection.java
@@ -29,6 +29,9 @@
 
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
+  /** Bounds the attempts that are kept because their replies are unconfirmed. */
+  private static final int MAX_UNCONFIRMED_ATTEMPTS = 64;
+
   /** Whether received bytes can be used. */
   private enum State {
     OPEN,
@@ -104,8 +107,8 @@
   }
 
   /**
-   * The number of attempts in flight; {@code Integer.MAX_VALUE} while no request may be written. A
-   * request behind a large value would wait for the client that reads the value.
+   * The number of attempts without any reply; {@code Integer.MAX_VALUE} while no request may be
+   * written. A request behind a large value would wait for the client that reads the value.
    */
   int load() {
     boolean isUnavailable =
@@ -122,6 +125,16 @@
     return !isAcceptedByServer && !inFlightAttempts.isEmpty();
   }
 
+  /** Whether a rejection on this connection may be a copy of an earlier one. */
+  boolean isRejectionAmbiguous() {
+    return inFlightAttempts.isRejectionAmbiguous();
+  }
+
+  /** Whether an attempt waits for a later reply to confirm its rejection. */
+  boolean hasUnconfirmedAttempt() {
+    return inFlightAttempts.isAnyUnconfirmedAwaited();
+  }
+
   /** Writes an attempt, or has the dispatcher withdraw it if it must not be written any more. */
   void write(Attempt attempt) {
     long now = clock.refresh();
@@ -159,7 +172,7 @@
    */
   @Override
   public void abandon(Attempt attempt, boolean isOverdue) {
-    inFlightAttempts.abandon(attempt);
+    inFlightAttempts.stopAwaiting(attempt);
     drain();
     if (!attempt.isWritten() && attempt.isTooLateToWrite(clock.refresh())) {
       // Otherwise the rest of the request would be sent once the kernel accepts more bytes.
@@ -237,14 +250,47 @@
     switch (inFlightAttempts.match(reply, isLarge)) {
       case OLDEST -> {
         reportIdlePeriod(false);
+        endConfirmed();
         return inFlightAttempts.oldestAttempt();
       }
-      case DUPLICATE -> drain();
+      case UNCONFIRMED -> {
+        reportIdlePeriod(false);
+        unconfirmedReplyReceived(reply);
+      }
+      case DUPLICATE -> duplicateReceived();
       case NONE -> closeCorrupted("reply matches no request in flight");
     }
     return null;
   }
 
+  /** Ends the attempts that were answered before the one whose reply was matched last. */
+  private void endConfirmed() {
+    for (InFlightAttempts.Confirmation confirmation = inFlightAttempts.pollConfirmation();
+        confirmation != null;
+        confirmation = inFlightAttempts.pollConfirmation()) {
+      dispatcher.replyConfirmed(confirmation.attempt(), confirmation.result());
+    }
+  }
+
+  private void unconfirmedReplyReceived(ServerReply reply) {
+    Attempt attempt = inFlightAttempts.lastUnconfirmed();
+    inFlightAttempts.markChanged(clock.refresh());
+    if (dispatcher.unconfirmedReplyReceived(attempt, reply)) {
+      inFlightAttempts.stopAwaiting(attempt);
+    }
+    if (isDraining || inFlightAttempts.unconfirmedCount() >= MAX_UNCONFIRMED_ATTEMPTS) {
+      drain();
+    }
+  }
+
+  /** Replaces the connection, unless a later reply on it may still confirm a rejection. */
+  private void duplicateReceived() {
+    dispatcher.countDuplicateReply();
+    if (!hasUnconfirmedAttempt()) {
+      drain();
+    }
+  }
+
   /** Called when the reply to the oldest attempt is complete. */
   private void completeOldest() {
     inFlightAttempts.completeOldest();
@@ -374,9 +420,7 @@
       phase = ReplyPhase.AWAITING_REPLY;
       stream.fail();
     }
-    for (Attempt attempt = inFlightAttempts.removeOldest();
-        attempt != null;
-        attempt = inFlightAttempts.removeOldest()) {
+    for (Attempt attempt : inFlightAttempts.removeAll()) {
       dispatcher.attemptEnded(attempt, resultOfClose(attempt, wasCorrupted));
     }
     pool.connectionClosed(this);
--- a/engine/src/main/java/shalepaddle/upstream/ServerPool.java
+++ b/engine/src/main/java/shalepaddle/upstream/ServerPool.java
@@ -37,6 +37,9 @@
       long maxIdleNanos,
       long connectTimeoutNanos) {}
 
+  /** Bounds the connections opened on behalf of {@link #replacesConnection}. */
+  private static final long REPLACEMENT_INTERVAL_NANOS = 1_000_000_000L;
+
   private final Bootstrap bootstrap;
   private final ServerCodec codec;
   private final Limits limits;
@@ -55,6 +58,9 @@
 
   private int connectingCount;
 
+  /** When a connection was last opened to replace one whose rejections are ambiguous. */
+  private long replacedAtNanos;
+
   /** The number of calls of {@link #drain}, to detect a call while a connection is opened. */
   private int drainCount;
 
@@ -72,6 +78,7 @@
     this.dispatcher = dispatcher;
     this.clock = dispatcher.clock();
     this.endpoint = new ServerEndpoint(clock, address);
+    this.replacedAtNanos = clock.refresh() - REPLACEMENT_INTERVAL_NANOS;
     this.connectionLimit = new ConnectionLimit(clock, budget, limits.maxConnectionsPerServer());
   }
 
@@ -129,9 +136,14 @@
     if (attempt.isEnded()) {
       return;
     }
-    ServerConnection bestConnection = bestConnection();
+    ServerConnection bestConnection = bestConnection(attempt);
     if (bestConnection != null && bestConnection.load() == 0) {
-      bestConnection.write(attempt);
+      if (replacesConnection(bestConnection, attempt)) {
+        queue.add(attempt);
+        connect(bestConnection);
+      } else {
+        bestConnection.write(attempt);
+      }
       return;
     }
     int usableOrConnectingCount = usableConnections() + connectingCount;
@@ -139,7 +151,7 @@
         && (usableOrConnectingCount == 0 || budget.hasCapacity())) {
       queue.add(attempt);
       if (connectingCount < queue.size()) {
-        connect();
+        connect(null);
       }
     } else if (bestConnection != null) {
       bestConnection.write(attempt);
@@ -149,13 +161,32 @@
     }
   }
 
+  /**
+   * Whether a new connection is opened for an attempt though another one is idle: a rejection on
+   * the idle one would be no proof that the attempt has not run.
+   */
+  private boolean replacesConnection(ServerConnection idleConnection, Attempt attempt) {
+    long now = clock.refresh();
+    boolean mayReplace =
+        attempt.needsProofOfRejection()
+            && idleConnection.isRejectionAmbiguous()
+            && now - replacedAtNanos >= REPLACEMENT_INTERVAL_NANOS
+            && attempt.deadlineNanos() - now > 2 * limits.connectTimeoutNanos()
+            && usableConnections() + connectingCount < connectionLimit.currentLimit()
+            && budget.hasCapacity();
+    if (mayReplace) {
+      replacedAtNanos = now;
+    }
+    return mayReplace;
+  }
+
   /** Removes an attempt that waits for a connection. */
   void withdraw(Attempt attempt) {
     queue.remove(attempt);
   }
 
-  /** The preferred connection for the next attempt, null if none can be written to. */
-  private ServerConnection bestConnection() {
+  /** The preferred connection for an attempt, null if none can be written to. */
+  private ServerConnection bestConnection(Attempt attempt) {
     ServerConnection bestConnection = null;
     long now = clock.refresh();
     for (ServerConnection connection : List.copyOf(connections)) {
@@ -164,7 +195,7 @@
         connection.drain();
       }
       if (connection.load() < limits.maxInFlightPerConnection()
-          && isPreferred(connection, bestConnection)) {
+          && isPreferred(attempt, connection, bestConnection)) {
         bestConnection = connection;
       }
     }
@@ -173,19 +204,38 @@
 
   /**
    * Whether the candidate is preferred: it has fewer attempts in flight, or was used more recently.
-   * Connections whose first request is in flight come last: if the server rejects such a
-   * connection, it is not known whether a second request on it ran.
+   * Attempts that need proof of a rejection avoid connections that cannot give it; others use them
+   * first, since their replies confirm earlier rejections. Connections whose first request is in
+   * flight come last: if the server rejects such a connection, it is not known whether a second
+   * request on it ran.
    */
-  private static boolean isPreferred(ServerConnection candidate, ServerConnection bestConnection) {
+  private static boolean isPreferred(
+      Attempt attempt, ServerConnection candidate, ServerConnection bestConnection) {
     if (bestConnection == null) {
       return true;
     }
     if (candidate.isUnproven() != bestConnection.isUnproven()) {
       return bestConnection.isUnproven();
     }
-    return candidate.load() < bestConnection.load()
-        || (candidate.load() == bestConnection.load()
-            && candidate.usedAtNanos() - bestConnection.usedAtNanos() > 0);
+    if (candidate.load() != bestConnection.load()) {
+      return candidate.load() < bestConnection.load();
+    }
+    if (candidate.isRejectionAmbiguous() != bestConnection.isRejectionAmbiguous()) {
+      return candidate.isRejectionAmbiguous() != attempt.needsProofOfRejection();
+    }
+    if (candidate.hasUnconfirmedAttempt() != bestConnection.hasUnconfirmedAttempt()) {
+      return candidate.hasUnconfirmedAttempt();
+    }
+    return candidate.usedAtNanos() - bestConnection.usedAtNanos() > 0;
+  }
+
+  private boolean hasConnectionWithCapacity() {
+    for (ServerConnection connection : connections) {
+      if (connection.load() < limits.maxInFlightPerConnection()) {
+        return true;
+      }
+    }
+    return false;
   }
 
   /** The number of connections that are not draining. */
@@ -204,11 +254,16 @@
 
   private void connectIfNoneIsUsable() {
     if (usableConnections() == 0 && connectingCount == 0) {
-      connect();
+      connect(null);
     }
   }
 
-  private void connect() {
+  /**
+   * Opens a connection.
+   *
+   * @param replaced an idle connection to close once the new one is established, null for none
+   */
+  private void connect(ServerConnection replaced) {
     connectingCount++;
     budget.acquire();
     long startedAtNanos = clock.refresh();
@@ -226,6 +281,7 @@
             boolean isCurrent =
                 drainCountBefore == drainCount && address.equals(endpoint.address());
             connected(connection, isCurrent);
+            closeReplaced(replaced);
           } else {
             budget.release();
             // Only the time-out closes a channel that is not established yet.
@@ -248,6 +304,12 @@
     }
   }
 
+  private static void closeReplaced(ServerConnection replaced) {
+    if (replaced != null && replaced.load() == 0 && !replaced.hasUnconfirmedAttempt()) {
+      replaced.drain();
+    }
+  }
+
   /**
    * Handles a connection that was not established. If other connections are usable, the failure is
    * taken for the server's connection limit: queued attempts are written to the other connections,
@@ -258,14 +320,14 @@
     if (hasTimedOut) {
       drainIfSilentSince(startedAtNanos);
     }
-    boolean hasUsableConnection = bestConnection() != null;
+    boolean hasUsableConnection = hasConnectionWithCapacity();
     if (hasUsableConnection) {
       connectionLimit.connectFailed(usableConnections());
     } else if (connectingCount > 0) {
       return;
     }
     for (Attempt attempt : takeQueue()) {
-      ServerConnection bestConnection = bestConnection();
+      ServerConnection bestConnection = bestConnection(attempt);
       if (attempt.isEnded()) {
         // The handling of an earlier attempt can end this attempt, see the class comment.
         continue;
@@ -288,7 +350,7 @@
   void connectionRejected(Attempt attempt) {
     connectionLimit.connectionRejected(usableConnections());
     // Opens no connection for the attempt, since the server may be excluded by now.
-    ServerConnection bestConnection = endpoint.isDraining() ? null : bestConnection();
+    ServerConnection bestConnection = endpoint.isDraining() ? null : bestConnection(attempt);
     if (bestConnection != null && !attempt.isEnded() && dispatcher.prepareRewrite(attempt)) {
       bestConnection.write(attempt);
     } else {
--- a/engine/src/test/java/shalepaddle/engine/InvariantGuardTest.java
+++ b/engine/src/test/java/shalepaddle/engine/InvariantGuardTest.java
@@ -28,7 +28,7 @@
   private static Exchange exchange(Idempotency idempotency) {
     Request request = new Request("id1", "key", "put", null, 1, 0, 0, false, true);
     return new Exchange(
-        new Call(request, null, null), DEADLINE_NANOS, DEADLINE_NANOS, 3, idempotency);
+        new Call(request, null, null), DEADLINE_NANOS, DEADLINE_NANOS, 3, true, idempotency);
   }
 
   private static Attempt attempt(Exchange exchange) {
--- /dev/null
+++ b/engine/src/test/java/shalepaddle/node/RepeatedReplyTest.java
@@ -0,0 +1,190 @@
+package shalepaddle.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import shalepaddle.testkit.ScriptedPeer;
+
+/** Replies without a request id on a connection on which an earlier one may arrive twice. */
+@Timeout(30)
+class RepeatedReplyTest {
+  private static final int DEADLINE_MILLIS = 1900;
+
+  private NodeFixture rig;
+  private ScriptedPeer client;
+  private ScriptedPeer secondClient;
+  private ScriptedPeer server;
+
+  /** Has the first request on the only connection to the server rejected. */
+  @BeforeEach
+  void rejectFirstRequest() throws Exception {
+    rig = new NodeFixture(1);
+    client = rig.connectClient().write(write("a1"));
+    secondClient = rig.connectClient();
+    server = rig.acceptCache();
+    awaitRequest("a1");
+    server.write("SERVER_ERROR busy\r\n");
+    assertEquals("SERVER_ERROR busy", client.readLine());
+  }
+
+  @AfterEach
+  void closeNode() throws Exception {
+    rig.close();
+  }
+
+  private static String write(String id) {
+    return NodeFixture.writeCommand(id, DEADLINE_MILLIS, "v");
+  }
+
+  private static String read(String id) {
+    return NodeFixture.readCommand(id, DEADLINE_MILLIS);
+  }
+
+  private void awaitRequest(String id) throws Exception {
+    String line = server.readLine();
+    assertTrue(line != null && line.contains("O" + id + " "), "instead of " + id + ": " + line);
+    if (line.startsWith("ms ")) {
+      server.readLine();
+    }
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {1, 2})
+  void writeIsServedWhenCopiesOfEarlierRejectionPrecedeItsReply(int copies) throws Exception {
+    client.write(write("b1"));
+    awaitRequest("b1");
+    server.write("SERVER_ERROR busy\r\n".repeat(copies));
+    rig.awaitLoopTurns();
+    server.write("HD Ob1 c7\r\n");
+    assertEquals("HD Ob1 c7", client.readLine());
+  }
+
+  @Test
+  void writeIsRejectedOnceLaterReplyConfirmsItsRejection() throws Exception {
+    client.write(write("b1"));
+    awaitRequest("b1");
+    server.write("SERVER_ERROR busy\r\n");
+    rig.awaitLoopTurns();
+    secondClient.write(read("c1"));
+    awaitRequest("c1");
+    server.write("VA 1 Oc1\r\nx\r\n");
+    assertEquals("SERVER_ERROR busy", client.readLine());
+    assertEquals("VA 1 Oc1", secondClient.readLine());
+  }
+
+  @Test
+  void writeFailsWhenFailureFollowsRejectionThatMayBeCopy() throws Exception {
+    client.write(write("b1"));
+    awaitRequest("b1");
+    server.write("SERVER_ERROR busy\r\nSERVER_ERROR failed\r\n");
+    rig.awaitLoopTurns();
+    secondClient.write(read("c1"));
+    awaitRequest("c1");
+    server.write("VA 1 Oc1\r\nx\r\n");
+    assertEquals("SERVER_ERROR failed", client.readLine());
+    assertEquals("VA 1 Oc1", secondClient.readLine());
+  }
+
+  @Test
+  void writeFailsAtOnceWhenFailureFollowsEarlierRejection() throws Exception {
+    client.write(write("b1"));
+    awaitRequest("b1");
+    server.write("SERVER_ERROR failed\r\n");
+    assertEquals("SERVER_ERROR failed", client.readLine());
+  }
+
+  @Test
+  void rejectionIsProofAfterFailureOnSameConnection() throws Exception {
+    try (NodeFixture otherRig = new NodeFixture(1)) {
+      ScriptedPeer otherClient = otherRig.connectClient().write(write("a1"));
+      ScriptedPeer otherServer = otherRig.acceptCache();
+      otherServer.readLine();
+      otherServer.readLine();
+      otherServer.write("SERVER_ERROR failed\r\n");
+      assertEquals("SERVER_ERROR failed", otherClient.readLine());
+      otherClient.write(write("b1"));
+      otherServer.readLine();
+      otherServer.readLine();
+      otherServer.write("SERVER_ERROR busy\r\n");
+      assertEquals("SERVER_ERROR busy", otherClient.readLine());
+    }
+  }
+
+  @Test
+  void writeAfterRejectionUsesNewConnectionAndOldOneCloses() throws Exception {
+    try (NodeFixture otherRig = new NodeFixture(2)) {
+      ScriptedPeer otherClient = otherRig.connectClient().write(write("a1"));
+      ScriptedPeer rejectingConnection = otherRig.acceptCache();
+      rejectingConnection.readLine();
+      rejectingConnection.readLine();
+      rejectingConnection.write("SERVER_ERROR busy\r\n");
+      assertEquals("SERVER_ERROR busy", otherClient.readLine());
+      otherClient.write(write("b1"));
+      ScriptedPeer newConnection = otherRig.acceptCache();
+      assertTrue(newConnection.readLine().contains("Ob1 "));
+      newConnection.readLine();
+      newConnection.write("SERVER_ERROR busy\r\n");
+      assertEquals("SERVER_ERROR busy", otherClient.readLine());
+      assertNull(rejectingConnection.readLine());
+    }
+  }
+
+  @Test
+  void writesBehindEachOtherAreNotConfirmedByReplyToTheFirst() throws Exception {
+    client.write(write("b1"));
+    awaitRequest("b1");
+    secondClient.write(write("c1"));
+    awaitRequest("c1");
+    server.write("SERVER_ERROR busy\r\nSERVER_ERROR busy\r\nHD Ob1 c7\r\n");
+    assertEquals("HD Ob1 c7", client.readLine());
+    rig.awaitLoopTurns();
+    server.write("HD Oc1 c8\r\n");
+    assertEquals("HD Oc1 c8", secondClient.readLine());
+  }
+
+  @Test
+  void writeFailsAtItsDeadlineWhenNothingConfirmsItsRejection() throws Exception {
+    client.write(write("b1"));
+    awaitRequest("b1");
+    server.write("SERVER_ERROR busy\r\n");
+    assertEquals("SERVER_ERROR failed", client.readLine());
+    assertNull(server.readLine(), "the connection is still used");
+  }
+
+  @Test
+  void readIsRejectedByCopyAndItsOwnReplyAnswersNothing() throws Exception {
+    client.write(read("b1"));
+    awaitRequest("b1");
+    server.write("SERVER_ERROR busy\r\n");
+    assertEquals("SERVER_ERROR busy", client.readLine());
+    secondClient.write(read("c1"));
+    awaitRequest("c1");
+    server.write("VA 1 Ob1\r\ny\r\nVA 1 Oc1\r\nx\r\n");
+    assertEquals("VA 1 Oc1", secondClient.readLine());
+    assertEquals("x", secondClient.readLine());
+  }
+
+  @Test
+  void copyOfReplyBeforeTheLastOneBreaksNoRequest() throws Exception {
+    client.write(read("b1"));
+    awaitRequest("b1");
+    server.write("VA 1 Ob1\r\nx\r\n");
+    assertEquals("VA 1 Ob1", client.readLine());
+    client.readLine();
+    client.write(read("c1"));
+    awaitRequest("c1");
+    server.write("VA 1 Oc1\r\nx\r\n");
+    assertEquals("VA 1 Oc1", client.readLine());
+    secondClient.write(write("d1"));
+    awaitRequest("d1");
+    server.write("VA 1 Ob1\r\nx\r\nHD Od1 c7\r\n");
+    assertEquals("HD Od1 c7", secondClient.readLine());
+  }
+}
--- a/engine/src/test/java/shalepaddle/node/ServerConnectionRejectedTest.java
+++ b/engine/src/test/java/shalepaddle/node/ServerConnectionRejectedTest.java
@@ -96,7 +96,7 @@
     sendOnOpenAndNewConnection(1, NodeFixture.readCommand("b1", 5000));
     newConnection.write("SERVER_ERROR busy\r\n");
     assertEquals("SERVER_ERROR busy", secondClient.readLine());
-    secondClient.write(NodeFixture.writeCommand("b2", 5000, "v"));
+    secondClient.write(NodeFixture.readCommand("b2", 5000));
     String line = newConnection.readLine();
     assertTrue(
         line != null && line.contains("Ob2 "), "the new connection is not used again: " + line);
