A write whose rejection precedes its last byte is not sent on

A large write was answered busy, or went to another server, while its rest was still sent to the first, which runs it once it has the last byte.

Cause: a reply was matched with an attempt of which the socket had not accepted all bytes. It ended the attempt as rejected, and the pending write went on.

Evidence: RepeatedReplyTest.restOfLargeWriteIsNotSentAfterRejectionOfItsFirstBytes, 4 MiB, a server that rejects after the first line: all bytes arrived after the client had its answer.

Change: no reply can answer such an attempt, since a server starts with the last byte: the connection closes, and the attempt ends as not connected, which is true.

--- a/engine/src/main/java/shalepaddle/upstream/InFlightAttempts.java
+++ b/engine/src/main/java/shalepaddle/upstream/InFlightAttempts.java
@@ -177,7 +177,7 @@
   private Match matchByPosition(ServerReply reply) {
     Entry entry = firstWithoutReply();
     boolean isAmbiguous = isAmbiguous(reply.result());
-    if (entry == null && !isAmbiguous) {
+    if (entry == null ? !isAmbiguous : !isFullyWritten(entry.attempt)) {
       return Match.NONE;
     }
     unidentifiedResults.add(reply.result());
@@ -194,6 +194,11 @@
     return Match.UNCONFIRMED;
   }
 
+  /** Whether the server can have answered the attempt: it starts once it has the last byte. */
+  private static boolean isFullyWritten(Attempt attempt) {
+    return attempt.isWritten() || attempt.isEnded();
+  }
+
   /**
    * Matches the last attempt with the id that all others before it allow. An earlier attempt of the
    * same request can only have ended by an unconfirmed reply.
@@ -206,7 +211,7 @@
       if (position <= unconfirmedEntries && entry.attempt.hasRequestId(reply.id())) {
         boolean isAnswer =
             isLarge ? entry.attempt.matchesValue(reply) : entry.attempt.matches(reply);
-        if (!isAnswer) {
+        if (!isAnswer || !isFullyWritten(entry.attempt)) {
           return Match.NONE;
         }
         firstPosition = firstPosition < 0 ? position : firstPosition;
--- a/engine/src/test/java/shalepaddle/node/RepeatedReplyTest.java
+++ b/engine/src/test/java/shalepaddle/node/RepeatedReplyTest.java
@@ -17,6 +17,9 @@
 class RepeatedReplyTest {
   private static final int DEADLINE_MILLIS = 1900;
 
+  /** More than the socket buffers of both ends hold. */
+  private static final int LARGE_VALUE_BYTES = 4 << 20;
+
   private NodeFixture rig;
   private ScriptedPeer client;
   private ScriptedPeer secondClient;
@@ -136,6 +139,22 @@
     }
   }
 
+  @Test
+  void restOfLargeWriteIsNotSentAfterRejectionOfItsFirstBytes() throws Exception {
+    try (NodeFixture otherRig = new NodeFixture(1)) {
+      ScriptedPeer otherClient = otherRig.connectClient();
+      otherClient.write(
+          NodeFixture.writeCommand("a1", DEADLINE_MILLIS, "v".repeat(LARGE_VALUE_BYTES)));
+      ScriptedPeer otherServer = otherRig.acceptCache();
+      assertTrue(otherServer.readLine().contains("Oa1 "));
+      otherServer.write("SERVER_ERROR busy\r\n");
+      assertEquals("SERVER_ERROR busy", otherClient.readLine());
+      assertTrue(
+          otherServer.readBytes(LARGE_VALUE_BYTES).length < LARGE_VALUE_BYTES,
+          "the write was sent completely after it was rejected");
+    }
+  }
+
   @Test
   void writesBehindEachOtherAreNotConfirmedByReplyToTheFirst() throws Exception {
     client.write(write("b1"));
