A rejection among several requests in flight waits for a later reply

A server that answers two requests on a connection out of order had the first one sent again though it ran.

Cause: the first reply without an id on a connection was taken for the oldest attempt's, however many were in flight.

Change: it is certain only while one attempt is in flight. Otherwise it is confirmed like any later one, by a reply with an id; reads are retried at once as before.

Result: RepeatedReplyTest.writeIsServedWhenRejectionOfTheNextOnePrecedesItsReply.

--- a/engine/src/main/java/shalepaddle/upstream/InFlightAttempts.java
+++ b/engine/src/main/java/shalepaddle/upstream/InFlightAttempts.java
@@ -17,8 +17,9 @@
  *
  * <p>A reply with a request id answers the attempt with that id. A reply without one, which reports
  * a rejection or a failure, is known only by its position: the first of its kind on a connection
- * can be trusted. Any later one may be a copy, and its attempt stays unconfirmed until a reply with
- * an id shows that the attempt was answered before.
+ * can be trusted while only one attempt is in flight. Any other one may be a copy, or out of order,
+ * and its attempt stays unconfirmed until a reply with an id shows that the attempt was answered
+ * before.
  *
  * <p>Owned by the connection, on its event loop; all times are by the loop's clock.
  */
@@ -176,7 +177,7 @@
 
   private Match matchByPosition(ServerReply reply) {
     Entry entry = firstWithoutReply();
-    boolean isAmbiguous = isAmbiguous(reply.result());
+    boolean isAmbiguous = size() > 1 || isAmbiguous(reply.result());
     if (entry == null ? !isAmbiguous : !isFullyWritten(entry.attempt)) {
       return Match.NONE;
     }
--- a/engine/src/test/java/shalepaddle/node/RepeatedReplyTest.java
+++ b/engine/src/test/java/shalepaddle/node/RepeatedReplyTest.java
@@ -139,6 +139,23 @@
     }
   }
 
+  @Test
+  void writeIsServedWhenRejectionOfTheNextOnePrecedesItsReply() throws Exception {
+    try (NodeFixture otherRig = new NodeFixture(1)) {
+      ScriptedPeer otherClient = otherRig.connectClient().write(write("a1"));
+      ScriptedPeer otherServer = otherRig.acceptCache();
+      assertTrue(otherServer.readLine().contains("Oa1 "));
+      otherServer.readLine();
+      ScriptedPeer nextClient = otherRig.connectClient().write(write("b1"));
+      assertTrue(otherServer.readLine().contains("Ob1 "));
+      otherServer.readLine();
+      otherServer.write("SERVER_ERROR busy\r\nHD Oa1 c7\r\n");
+      assertEquals("HD Oa1 c7", otherClient.readLine());
+      otherServer.close();
+      assertEquals("SERVER_ERROR failed", nextClient.readLine());
+    }
+  }
+
   @Test
   void restOfLargeWriteIsNotSentAfterRejectionOfItsFirstBytes() throws Exception {
     try (NodeFixture otherRig = new NodeFixture(1)) {
@@ -206,4 +223,18 @@
     server.write("VA 1 Ob1\r\nx\r\nHD Od1 c7\r\n");
     assertEquals("HD Od1 c7", secondClient.readLine());
   }
+
+  @Test
+  void copyOfLargeValueBreaksNoRequest() throws Exception {
+    String largeReply = "VA 100000 Ob1\r\n" + "x".repeat(100_000) + "\r\n";
+    client.write(read("b1"));
+    awaitRequest("b1");
+    server.write(largeReply);
+    assertEquals("VA 100000 Ob1", client.readLine());
+    assertEquals(100_002, client.readBytes(100_002).length);
+    secondClient.write(write("c1"));
+    awaitRequest("c1");
+    server.write(largeReply + "HD Oc1 c7\r\n");
+    assertEquals("HD Oc1 c7", secondClient.readLine());
+  }
 }
--- a/engine/src/test/java/shalepaddle/node/ServerConnectionRejectedTest.java
+++ b/engine/src/test/java/shalepaddle/node/ServerConnectionRejectedTest.java
@@ -1,6 +1,7 @@
 package shalepaddle.node;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -60,6 +61,19 @@
     assertEquals("VA 1 Ob1", secondClient.readLine());
   }
 
+  @Test
+  void sendsWriteOnOpenConnectionOnceWhenRejectionOfNewConnectionIsCopied() throws Exception {
+    sendOnOpenAndNewConnection(3, NodeFixture.writeCommand("b1", 5000, "v"));
+    newConnection.write("SERVER_ERROR busy\r\nSERVER_ERROR busy\r\n");
+    newConnection.close();
+    assertTrue(openConnection.readLine().contains("Ob1 "));
+    assertEquals("v", openConnection.readLine());
+    openConnection.write("VA 1 Oa1\r\nx\r\nHD Ob1 cdone\r\n");
+    assertEquals("HD Ob1 cdone", secondClient.readLine());
+    rig.node.close();
+    assertNull(openConnection.readLine());
+  }
+
   @Test
   void sendsNonIdempotentWriteOnOpenConnectionWhenNewConnectionIsRejected() throws Exception {
     sendOnOpenAndNewConnection(2, NodeFixture.writeCommand("b1", 5000, "v"));
