Metrics: how attempts end, why servers' connections close; held connections stay open

A connection with an attempt that waits for its confirmation no longer counts as idle: it was drained by the limits on idle connections, so that no later reply could confirm.

--- a/engine/src/main/java/shalepaddle/diagnostics/Event.java
+++ b/engine/src/main/java/shalepaddle/diagnostics/Event.java
@@ -17,11 +17,29 @@
   ATTEMPT_WRITTEN(null),
   ATTEMPT_ENDED(null),
 
+  /** How an attempt ended, by the name of its result. */
+  RESULT_OK("attempt_results"),
+  RESULT_ERROR("attempt_results"),
+  RESULT_SERVER_BUSY("attempt_results"),
+  RESULT_TIMEOUT("attempt_results"),
+  RESULT_CONNECT_FAILED("attempt_results"),
+  RESULT_RESET("attempt_results"),
+  RESULT_CANCELLED("attempt_results"),
+  RESULT_NOT_SENT("attempt_results"),
+  RESULT_CONNECTION_LIMIT_REACHED("attempt_results"),
+  RESULT_CACHE_MISS("attempt_results"),
+  RESULT_MALFORMED_RESPONSE("attempt_results"),
+
   /** A server's reply without a request id may be a copy of an earlier one, or is confirmed. */
   REPLY_UNCONFIRMED("server_replies"),
   REPLY_CONFIRMED("server_replies"),
   /** A server's reply is a copy of an earlier one. */
   REPLY_DUPLICATE("server_replies"),
+
+  /** A connection to a server closed after invalid bytes, after a drain, or by the server. */
+  SERVER_CLOSE_INVALID_BYTES("server_closes"),
+  SERVER_CLOSE_DRAINED("server_closes"),
+  SERVER_CLOSE_REMOTE("server_closes"),
   ANSWERED(null),
   CLIENT_DISCONNECTED(null),
   LOOP_STALLED(null),
@@ -76,7 +94,14 @@
 
   /** Prefixes of event names that repeat the name of the event's metric. */
   private static final String[] METRIC_PREFIXES = {
-    "ATTEMPT_", "REPLY_", "READ_PAUSE_", "REJECTED_", "CLOSE_", "VIOLATION_",
+    "ATTEMPT_",
+    "RESULT_",
+    "REPLY_",
+    "SERVER_CLOSE_",
+    "READ_PAUSE_",
+    "REJECTED_",
+    "CLOSE_",
+    "VIOLATION_",
   };
 
   private static final List<Event> COUNTED_EVENTS =
--- a/engine/src/main/java/shalepaddle/engine/AttemptLifecycle.java
+++ b/engine/src/main/java/shalepaddle/engine/AttemptLifecycle.java
@@ -1,5 +1,7 @@
 package shalepaddle.engine;
 
+import java.util.EnumMap;
+import java.util.Map;
 import shalepaddle.diagnostics.Event;
 import shalepaddle.diagnostics.FlightRecorder;
 import shalepaddle.loop.LoopClock;
@@ -15,6 +17,15 @@
  * <p>Owned by the event loop's thread.
  */
 final class AttemptLifecycle {
+  private static final Map<Outcome.Result, Event> RESULT_EVENTS =
+      new EnumMap<>(Outcome.Result.class);
+
+  static {
+    for (Outcome.Result result : Outcome.Result.values()) {
+      RESULT_EVENTS.put(result, Event.valueOf("RESULT_" + result.name()));
+    }
+  }
+
   private final LoopClock clock;
   private final PolicyEventLoop policy;
   private final FlightRecorder recorder;
@@ -239,6 +250,7 @@
     Exchange exchange = attempt.exchange();
     attempt.end(result.provesNotRun());
     recorder.record(Event.ATTEMPT_ENDED, exchange.id(), result.name());
+    recorder.count(RESULT_EVENTS.get(result), 1);
     exchange.attemptEnded(result);
     double elapsedSeconds = (clock.refresh() - attempt.sentAtNanos()) / 1e9;
     double stalledSeconds = (clock.stalledNanos() - attempt.stalledBeforeNanos()) / 1e9;
--- a/engine/src/main/java/shalepaddle/engine/Dispatcher.java
+++ b/engine/src/main/java/shalepaddle/engine/Dispatcher.java
@@ -262,6 +262,17 @@
     return attempts.unconfirmedReplyReceived(attempt, reply);
   }
 
+  /** Counts a connection to a server that has closed. */
+  public void countServerClose(ServerClose reason) {
+    recorder.count(
+        switch (reason) {
+          case INVALID_BYTES -> Event.SERVER_CLOSE_INVALID_BYTES;
+          case DRAINED -> Event.SERVER_CLOSE_DRAINED;
+          case REMOTE -> Event.SERVER_CLOSE_REMOTE;
+        },
+        1);
+  }
+
   /** Counts a reply that is a copy of an earlier one. */
   public void countDuplicateReply() {
     recorder.count(Event.REPLY_DUPLICATE, 1);
--- a/engine/src/main/java/shalepaddle/upstream/ServerConnection.java
+++ b/engine/src/main/java/shalepaddle/upstream/ServerConnection.java
@@ -12,6 +12,7 @@
 import shalepaddle.engine.Attempt;
 import shalepaddle.engine.Dispatcher;
 import shalepaddle.engine.LargeReply;
+import shalepaddle.engine.ServerClose;
 import shalepaddle.engine.ServerReply;
 import shalepaddle.loop.LoopClock;
 import shalepaddle.model.Outcome;
@@ -120,6 +121,11 @@
     return isUnavailable ? Integer.MAX_VALUE : inFlightAttempts.size();
   }
 
+  /** Whether a request may be written, and no reply is awaited. */
+  boolean isIdle() {
+    return load() == 0 && !hasUnconfirmedAttempt();
+  }
+
   /** Whether the first request is in flight, so that the server may still reject the connection. */
   boolean isUnproven() {
     return !isAcceptedByServer && !inFlightAttempts.isEmpty();
@@ -408,6 +414,7 @@
   public void channelInactive(ChannelHandlerContext ctx) {
     boolean wasCorrupted = state == State.CORRUPTED;
     state = State.CLOSED;
+    dispatcher.countServerClose(closeReason(wasCorrupted));
     if (phase instanceof ReplyPhase.FirstRequestRejected rejectedPhase) {
       isDraining = true;
       phase = ReplyPhase.AWAITING_REPLY;
@@ -426,6 +433,13 @@
     pool.connectionClosed(this);
   }
 
+  private ServerClose closeReason(boolean wasCorrupted) {
+    if (wasCorrupted) {
+      return ServerClose.INVALID_BYTES;
+    }
+    return isDraining ? ServerClose.DRAINED : ServerClose.REMOTE;
+  }
+
   /** A request whose last byte was not handed to the socket has provably not run. */
   private static Outcome.Result resultOfClose(Attempt attempt, boolean wasCorrupted) {
     if (!attempt.isWritten()) {
--- a/engine/src/main/java/shalepaddle/upstream/ServerPool.java
+++ b/engine/src/main/java/shalepaddle/upstream/ServerPool.java
@@ -190,7 +190,7 @@
     ServerConnection bestConnection = null;
     long now = clock.refresh();
     for (ServerConnection connection : List.copyOf(connections)) {
-      if (connection.load() == 0
+      if (connection.isIdle()
           && staleConnections.isLikelyStale(now - connection.usedAtNanos(), now)) {
         connection.drain();
       }
@@ -305,7 +305,7 @@
   }
 
   private static void closeReplaced(ServerConnection replaced) {
-    if (replaced != null && replaced.load() == 0 && !replaced.hasUnconfirmedAttempt()) {
+    if (replaced != null && replaced.isIdle()) {
       replaced.drain();
     }
   }
@@ -427,7 +427,7 @@
   private ServerConnection leastRecentlyUsedIdle() {
     ServerConnection oldestConnection = null;
     for (ServerConnection connection : connections) {
-      if (connection.load() == 0
+      if (connection.isIdle()
           && (oldestConnection == null
               || connection.usedAtNanos() - oldestConnection.usedAtNanos() < 0)) {
         oldestConnection = connection;
@@ -439,7 +439,7 @@
   /** Closes all idle connections. */
   void closeIdle() {
     for (ServerConnection connection : List.copyOf(connections)) {
-      if (connection.load() == 0) {
+      if (connection.isIdle()) {
         connection.drain();
       }
     }
@@ -448,7 +448,7 @@
   /** Closes idle connections that were not used since the given time, by the loop's clock. */
   void closeIdleSince(long sinceNanos) {
     for (ServerConnection connection : List.copyOf(connections)) {
-      if (connection.load() == 0 && connection.usedAtNanos() - sinceNanos < 0) {
+      if (connection.isIdle() && connection.usedAtNanos() - sinceNanos < 0) {
         connection.drain();
       }
     }
