FaultSoakIT: deployments drawn by seed, far servers, copied replies, rejections, kills

New faults: copies of every kind of reply 2 to 400 ms late, servers that reject, pauses in series. A process that is told to end is killed at the longest deadline and 0.7 s, while clients use its connections. Judged by clients and servers as before. RepeatedReplyIT bounds the new connections that honest rejections cost.

Not judged: attempts that overlap where the settings forbid it, since a server far away sees a close late; keyed writes of group "all".

--- a/daemon/src/test/java/shalepaddle/daemon/FaultSoak.java
+++ b/daemon/src/test/java/shalepaddle/daemon/FaultSoak.java
@@ -19,6 +19,7 @@
 import shalepaddle.testkit.Fault;
 import shalepaddle.testkit.LoopbackTransport;
 import shalepaddle.testkit.MisbehavingClients;
+import shalepaddle.testkit.ServerLink;
 import shalepaddle.testkit.ServerModel;
 import shalepaddle.testkit.StandInClients;
 import shalepaddle.testkit.StandInDiscovery;
@@ -39,8 +40,19 @@
   private static final int MAX_DESCRIPTORS = 256;
   private static final int MAX_CLIENT_CONNECTIONS = MAX_DESCRIPTORS / 3;
   private static final int REQUESTS_PER_SECOND_PER_NODE = 40;
-  private static final int READ_DEADLINE_MILLIS = 800;
-  private static final int WRITE_DEADLINE_MILLIS = 600;
+  private static final int BAD_CLIENT_COUNT = 10;
+  private static final int CROWD_CLIENT_COUNT = 60;
+  private static final int SERIAL_PAUSE_MILLIS = 150;
+
+  /** The least time between the longest deadline and SIGKILL, counted from SIGTERM. */
+  private static final long KILL_MARGIN_MILLIS = 700;
+
+  /** Replies that may arrive twice; the empty text stands for all of them. */
+  private static final String[] COPIED_REPLIES = {
+    "SERVER_ERROR busy", "SERVER_ERROR failed", "VA", "HD", ""
+  };
+
+  private static final int[] MAX_COPY_DELAYS_MILLIS = {12, 60, 400};
   private static final long[] CLOCK_STEPS_SECONDS = {0, 5, -5, 3600, -3600};
 
   private static final FaultySystemCalls.Call[] FAILING_CALLS = {
@@ -102,6 +114,9 @@
     DISCOVERY_SILENT,
     MUTE_WATCHES,
     SLOW_ORIGIN,
+    REJECTING_SERVER,
+    COPIED_REPLIES,
+    PAUSE_SERIES,
     BAD_CLIENTS,
     BURST
   }
@@ -133,7 +148,9 @@
   private final LoopbackTransport transport = LoopbackTransport.sockets(loop);
   private final EffectLog effectLog = new EffectLog();
   private final StandInOrigin origin;
+  private final SoakDeployment deployment;
   private final List<StandInServer> servers = new ArrayList<>();
+  private final List<ServerLink> links = new ArrayList<>();
   private final StandInDiscovery discovery = new StandInDiscovery(transport);
   private final StandInClients clients;
   private final MisbehavingClients misbehavingClients;
@@ -149,6 +166,7 @@
   FaultSoak(long seed, int nodeCount, Path folder) throws Exception {
     this.seed = seed;
     this.random = new SplittableRandom(seed);
+    this.deployment = SoakDeployment.draw(seed);
     this.folder = folder;
     this.library = FaultySystemCalls.buildLibrary(folder);
     this.origin = new StandInOrigin(transport, seed, 16, 0.02);
@@ -161,25 +179,13 @@
                 REQUESTS_PER_SECOND_PER_NODE * nodeCount,
                 2000,
                 1,
-                List.of(
-                    new Traffic.RequestClass("read", 0.85, false, false, READ_DEADLINE_MILLIS, 0),
-                    new Traffic.RequestClass("put", 0.15, true, false, WRITE_DEADLINE_MILLIS, 64)),
+                deployment.classes(),
                 ABANDONED_REQUESTS_FRACTION),
             MAX_LATENESS_MILLIS,
             MAX_CLIENT_CONNECTIONS,
             seed);
     for (int i = 0; i < SERVER_COUNT; i++) {
-      StandInServer server =
-          new StandInServer(
-              transport,
-              "s" + i,
-              "a",
-              ServerModel.defaults(),
-              origin,
-              effectLog,
-              servers,
-              seed + i);
-      server.start().sync();
+      startServer(i);
     }
     runOnLoop(
         () -> {
@@ -194,6 +200,23 @@
     }
   }
 
+  private void startServer(int index) throws Exception {
+    ServerLink link = new ServerLink(deployment.latencyMillisOf(index), seed + index);
+    links.add(link);
+    ServerModel model = ServerModel.defaults();
+    StandInServer server =
+        new StandInServer(
+            LoopbackTransport.sockets(loop, link),
+            "s" + index,
+            deployment.groupOf(index),
+            model.withDedupWindow(deployment.repeatWindowSeconds()),
+            origin,
+            effectLog,
+            servers,
+            seed + index);
+    server.start().sync();
+  }
+
   private <T> T callOnLoop(Callable<T> task) throws Exception {
     return loop.submit(task).get();
   }
@@ -202,21 +225,22 @@
     loop.submit(task).get();
   }
 
-  private static StandInDiscovery.Member listEntry(StandInServer server, long startTimeMillis) {
+  private StandInDiscovery.Member listEntry(StandInServer server, long startTimeMillis) {
+    int index = servers.indexOf(server);
     return new StandInDiscovery.Member(
-        server.id(), server.address(), "a", 0, StandInDiscovery.State.ACTIVE, startTimeMillis);
+        server.id(),
+        server.address(),
+        deployment.zoneOf(index),
+        deployment.cellOf(index),
+        StandInDiscovery.State.ACTIVE,
+        startTimeMillis);
   }
 
   private String config(int port, String serverList) {
     return """
         {"listen":"127.0.0.1:%d","discovery":"%s","seed":"%x",
          "limits":{"memory_mb":128,"sockets":%d},"known":%s,
-         "settings":{"instances":%d,"discovery":"push",
-          "caps":{"attempts-cap":3,"cancel":true,"parallel-tries":true,"multiplex":8,
-                  "connect-timeout":0.15,"conn-idle":60},
-          "contract":{"ask-within":10,"drain-grace":1,"cold-from":0.3,"warm-within":1},
-          "services":[{"name":"read","effect":"retryable","slo":0.4,"give-up":1},
-                      {"name":"put","effect":"fragile","slo":0.4,"give-up":1}]}}
+         "settings":%s}
         """
         .formatted(
             port,
@@ -224,7 +248,7 @@
             seed + port,
             MAX_DESCRIPTORS,
             serverList,
-            Math.max(1, nodes.size()));
+            deployment.settingsJson(Math.max(1, nodes.size())));
   }
 
   private NodeProcess startNode() throws Exception {
@@ -261,7 +285,9 @@
     }
     clearFaults();
     TimeUnit.MILLISECONDS.sleep(
-        READ_DEADLINE_MILLIS + MAX_RANDOM_FAULT_MILLIS + MAX_DELIVERY_NANOS / 1_000_000);
+        deployment.longestDeadlineMillis()
+            + MAX_RANDOM_FAULT_MILLIS
+            + MAX_DELIVERY_NANOS / 1_000_000);
     endNodes();
     collectViolations();
     return violations;
@@ -276,7 +302,8 @@
     int durationMillis = 100 + random.nextInt(MAX_RANDOM_FAULT_MILLIS);
     StandInServer server = servers.get(random.nextInt(SERVER_COUNT));
     switch (kind) {
-      case PAUSE_NODE -> pause(drawNode());
+      case PAUSE_NODE -> pause(drawNode(), 30 + random.nextInt(420));
+      case PAUSE_SERIES -> pauseInSeries(drawNode());
       case RESTART_NODE -> restart(drawNode());
       case KILL_NODE -> kill(drawNode());
       case RELOAD_NODE -> reload(drawNode());
@@ -306,6 +333,21 @@
             ANSWER_FAULTS.get(random.nextInt(ANSWER_FAULTS.size())), random.nextDouble());
         schedule(durationMillis, server::clearFaults);
       }
+      case REJECTING_SERVER -> {
+        server.injectFault(Fault.BUSY, 0.05 + 0.4 * random.nextDouble());
+        schedule(durationMillis, server::clearFaults);
+      }
+      case COPIED_REPLIES -> {
+        ServerLink link = links.get(servers.indexOf(server));
+        link.setCopies(drawCopies());
+        server.injectFault(Fault.BUSY, 1.0 / 12);
+        schedule(
+            durationMillis,
+            () -> {
+              link.setCopies(null);
+              server.clearFaults();
+            });
+      }
       case RESET_CONNECTIONS -> server.closeConnections(random.nextDouble());
       case CLOSE_IDLE_CONNECTIONS -> servers.forEach(StandInServer::closeIdleConnections);
       case DISCOVERY_DOWN -> {
@@ -324,7 +366,8 @@
       case BAD_CLIENTS -> {
         NodeProcess node = drawNode();
         if (node != null && !node.isPaused) {
-          misbehavingClients.connect(node.daemon.address(), 10);
+          misbehavingClients.connect(
+              node.daemon.address(), deployment.hasCrowd() ? CROWD_CLIENT_COUNT : BAD_CLIENT_COUNT);
         }
       }
       case BURST -> {
@@ -335,6 +378,14 @@
     }
   }
 
+  private ServerLink.Copies drawCopies() {
+    return new ServerLink.Copies(
+        COPIED_REPLIES[random.nextInt(COPIED_REPLIES.length)],
+        0.3 + 0.7 * random.nextDouble(),
+        2,
+        MAX_COPY_DELAYS_MILLIS[random.nextInt(MAX_COPY_DELAYS_MILLIS.length)]);
+  }
+
   private void killServer(StandInServer server, int downMillis) {
     if (server.isRunning()) {
       server.kill();
@@ -356,11 +407,18 @@
         : availableNodes.get(random.nextInt(availableNodes.size()));
   }
 
-  private void pause(NodeProcess node) throws Exception {
+  private void pauseInSeries(NodeProcess node) throws Exception {
+    int pauses = 2 + random.nextInt(3);
+    for (int i = 0; i < pauses; i++) {
+      pause(node, SERIAL_PAUSE_MILLIS);
+      TimeUnit.MILLISECONDS.sleep(random.nextInt(100));
+    }
+  }
+
+  private void pause(NodeProcess node, int pauseMillis) throws Exception {
     if (node == null) {
       return;
     }
-    int pauseMillis = 30 + random.nextInt(420);
     node.isPaused = true;
     node.wasEverPaused = true;
     runOnLoop(
@@ -380,6 +438,9 @@
     node.isEnding = true;
     node.daemon.terminate();
     schedule(CONNECTS_AFTER_SIGTERM_MILLIS, () -> clients.markRestarting(node.name));
+    schedule(
+        deployment.longestDeadlineMillis() + KILL_MARGIN_MILLIS,
+        () -> node.daemon.process().destroyForcibly());
     awaitReady(startNode());
   }
 
@@ -468,6 +529,7 @@
           servers.forEach(StandInServer::clearFaults);
           servers.forEach(server -> server.setUnresponsive(false));
           discovery.setSilent(false);
+          links.forEach(link -> link.setCopies(null));
           nodes.forEach(node -> node.calls.clearRules());
         });
   }
@@ -535,10 +597,11 @@
   String summary() throws Exception {
     return callOnLoop(
         () ->
-            ("seed %d: %d processes, %d requests, %d served, %d rejected, %d failed,"
+            ("seed %d: %s, %d processes, %d requests, %d served, %d rejected, %d failed,"
                     + " %d sent again after a close, %s")
                 .formatted(
                     seed,
+                    deployment,
                     startedNodes,
                     clients.requests(),
                     clients.servedRequests(),
--- a/daemon/src/test/java/shalepaddle/daemon/FaultSoakIT.java
+++ b/daemon/src/test/java/shalepaddle/daemon/FaultSoakIT.java
@@ -10,12 +10,13 @@
 import org.junit.jupiter.api.io.TempDir;
 
 /**
- * Injects random faults into real processes. The build runs one seed with few processes; for longer
- * runs see CONTRIBUTING: {@code -Dsoak.first=1 -Dsoak.seeds=20 -Dsoak.nodes=20 -Dsoak.seconds=40}.
+ * Injects random faults into real processes. The build runs three seeds with few processes; for
+ * longer runs see CONTRIBUTING: {@code -Dsoak.first=1 -Dsoak.seeds=20 -Dsoak.nodes=20
+ * -Dsoak.seconds=40}.
  */
 class FaultSoakIT {
   private static final long FIRST_SEED = Long.getLong("soak.first", 1);
-  private static final int SEEDS = Integer.getInteger("soak.seeds", 1);
+  private static final int SEEDS = Integer.getInteger("soak.seeds", 3);
   private static final int NODES = Integer.getInteger("soak.nodes", 10);
   private static final int SECONDS = Integer.getInteger("soak.seconds", 10);
 
--- a/daemon/src/test/java/shalepaddle/daemon/RepeatedReplyIT.java
+++ b/daemon/src/test/java/shalepaddle/daemon/RepeatedReplyIT.java
@@ -137,16 +137,22 @@
     TimeUnit.MILLISECONDS.sleep(RUN_MILLIS + DEADLINE_MILLIS + MAX_LATENESS_MILLIS);
     runOnLoop(() -> clients.checkEffects(MAX_DELIVERY_NANOS));
     System.out.printf(
-        "%d requests, %d served, %d rejected, %d failed, %d copies, %d rejections by servers%n",
+        "%d requests, %d served, %d rejected, %d failed, %d copies, %d rejections by servers,"
+            + " %d connections to far servers%n",
         clients.requests(),
         clients.servedRequests(),
         clients.refusedRequests(),
         clients.failedRequests(),
         farLink.sentCopies(),
-        servers.stream().mapToInt(StandInServer::rejected).sum());
+        rejections(),
+        farLink.acceptedConnections());
     return clients;
   }
 
+  private int rejections() {
+    return servers.stream().mapToInt(StandInServer::rejected).sum();
+  }
+
   private static Traffic.RequestClass writes(String name, double share) {
     return new Traffic.RequestClass(name, share, true, name.equals("keyed"), DEADLINE_MILLIS, 16);
   }
@@ -181,7 +187,7 @@
     assertEquals(List.of(), violations);
   }
 
-  /** Without copies a rejection costs a request nothing but its retry. */
+  /** Without copies a rejection costs a retry, and no connection for each. */
   @Test
   void nearlyAllWritesAreServedWhenServersRejectOnce() throws Exception {
     startNode(true);
@@ -190,5 +196,8 @@
     assertTrue(
         clients.servedRequests() >= 0.98 * clients.requests(),
         clients.servedRequests() + " of " + clients.requests() + " served");
+    assertTrue(
+        farLink.acceptedConnections() < rejections() / 2,
+        farLink.acceptedConnections() + " connections for " + rejections() + " rejections");
   }
 }
--- a/testkit/src/main/java/shalepaddle/testkit/ServerLink.java
+++ b/testkit/src/main/java/shalepaddle/testkit/ServerLink.java
@@ -31,6 +31,7 @@
   private final SplittableRandom random;
   private Copies copies;
   private int sentCopies;
+  private int acceptedConnections;
 
   /**
    * Creates a link without copies.
@@ -52,8 +53,14 @@
     return sentCopies;
   }
 
+  /** The number of connections accepted so far. */
+  public int acceptedConnections() {
+    return acceptedConnections;
+  }
+
   @Override
   public void accept(Channel channel) {
+    acceptedConnections++;
     channel.pipeline().addLast(new Delay());
   }
 
--- a/testkit/src/main/java/shalepaddle/testkit/ServerModel.java
+++ b/testkit/src/main/java/shalepaddle/testkit/ServerModel.java
@@ -65,6 +65,22 @@
         dedupWindowSeconds);
   }
 
+  /** A copy whose idempotency group drops repeats for this time, in seconds. */
+  public ServerModel withDedupWindow(double dedupWindowSeconds) {
+    return new ServerModel(
+        workers,
+        meanServiceSeconds,
+        maxQueued,
+        maxKeys,
+        maxConnections,
+        minValueBytes,
+        coldCapacityShare,
+        warmUpSeconds,
+        collapseCapacityMultiple,
+        collapseWindowSeconds,
+        dedupWindowSeconds);
+  }
+
   /** A copy with this number of workers and this mean processing time. */
   public ServerModel withWorkers(int workers, double meanServiceSeconds) {
     return new ServerModel(
