Matching a reply looks no further than it may match; stale connections drain in one place

A reply with an id was compared with every attempt in flight, though only those up to the first without a reply can match: one comparison again where nothing is in doubt. Two walks to a position are one.

--- a/engine/src/main/java/shalepaddle/upstream/InFlightAttempts.java
+++ b/engine/src/main/java/shalepaddle/upstream/InFlightAttempts.java
@@ -176,7 +176,7 @@
   }
 
   private Match matchByPosition(ServerReply reply) {
-    Entry entry = firstWithoutReply();
+    Entry entry = entryAt(unconfirmedEntries);
     boolean isAmbiguous = size() > 1 || isAmbiguous(reply.result());
     if (entry == null ? !isAmbiguous : !isFullyWritten(entry.attempt)) {
       return Match.NONE;
@@ -209,7 +209,10 @@
     int matchedPosition = -1;
     int position = 0;
     for (Entry entry : entries) {
-      if (position <= unconfirmedEntries && entry.attempt.hasRequestId(reply.id())) {
+      if (position > unconfirmedEntries) {
+        break;
+      }
+      if (entry.attempt.hasRequestId(reply.id())) {
         boolean isAnswer =
             isLarge ? entry.attempt.matchesValue(reply) : entry.attempt.matches(reply);
         if (!isAnswer || !isFullyWritten(entry.attempt)) {
@@ -246,9 +249,10 @@
     unconfirmedEntries = 0;
   }
 
-  private Entry firstWithoutReply() {
+  /** The entry at a position from the oldest, null if there are fewer. */
+  private Entry entryAt(int position) {
     Iterator<Entry> iterator = entries.iterator();
-    for (int i = 0; i < unconfirmedEntries; i++) {
+    for (int i = 0; i < position && iterator.hasNext(); i++) {
       iterator.next();
     }
     return iterator.hasNext() ? iterator.next() : null;
@@ -263,12 +267,7 @@
 
   /** The attempt that the last unconfirmed reply may answer. */
   Attempt lastUnconfirmed() {
-    Iterator<Entry> iterator = entries.iterator();
-    Entry entry = iterator.next();
-    for (int i = 1; i < unconfirmedEntries; i++) {
-      entry = iterator.next();
-    }
-    return entry.attempt;
+    return entryAt(unconfirmedEntries - 1).attempt;
   }
 
   /** Records that the result of an attempt is no longer needed; it stays until it is answered. */
--- a/engine/src/main/java/shalepaddle/upstream/ServerPool.java
+++ b/engine/src/main/java/shalepaddle/upstream/ServerPool.java
@@ -185,15 +185,21 @@
     queue.remove(attempt);
   }
 
-  /** The preferred connection for an attempt, null if none can be written to. */
-  private ServerConnection bestConnection(Attempt attempt) {
-    ServerConnection bestConnection = null;
+  private void drainLikelyStale() {
     long now = clock.refresh();
     for (ServerConnection connection : List.copyOf(connections)) {
       if (connection.isIdle()
           && staleConnections.isLikelyStale(now - connection.usedAtNanos(), now)) {
         connection.drain();
       }
+    }
+  }
+
+  /** The preferred connection for an attempt, null if none can be written to. */
+  private ServerConnection bestConnection(Attempt attempt) {
+    drainLikelyStale();
+    ServerConnection bestConnection = null;
+    for (ServerConnection connection : connections) {
       if (connection.load() < limits.maxInFlightPerConnection()
           && isPreferred(attempt, connection, bestConnection)) {
         bestConnection = connection;
@@ -320,6 +326,7 @@
     if (hasTimedOut) {
       drainIfSilentSince(startedAtNanos);
     }
+    drainLikelyStale();
     boolean hasUsableConnection = hasConnectionWithCapacity();
     if (hasUsableConnection) {
       connectionLimit.connectFailed(usableConnections());
