AdminClient serves the tests that call a node's admin server

ServerDrainingTest read the telemetry in a loop of its own beside AdminServerTest's. Both use AdminClient now; RepeatedReplyTest awaits requests in one way on every connection. Every assertion stays.

--- a/engine/src/test/java/shalepaddle/node/AdminServerTest.java
+++ b/engine/src/test/java/shalepaddle/node/AdminServerTest.java
@@ -8,12 +8,10 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.SocketTimeoutException;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -33,11 +31,13 @@
       "},\"management\":\"127.0.0.1:0\",\"unused\":{";
 
   private NodeFixture rig;
+  private AdminClient admin;
   private String serverId;
 
   @BeforeEach
   void start() throws Exception {
     rig = new NodeFixture(ADMIN_SERVER_SETTING);
+    admin = new AdminClient(rig.node.adminAddress());
     serverId = "s-" + rig.cache.getLocalPort();
   }
 
@@ -46,49 +46,10 @@
     rig.close();
   }
 
-  private record Response(int status, String body) {}
-
   private ScriptedPeer connectCaller() throws IOException {
     return ScriptedPeer.connect(rig.node.adminAddress());
   }
 
-  private Response call(String method, String target) throws IOException {
-    try (ScriptedPeer caller = connectCaller()) {
-      caller.write(method + " " + target + " HTTP/1.1\r\nHost: node\r\n\r\n");
-      return readResponse(caller);
-    }
-  }
-
-  private static Response readResponse(ScriptedPeer caller) throws IOException {
-    int status = Integer.parseInt(caller.readLine().split(" ", 0)[1]);
-    int contentLength = 0;
-    for (String line = caller.readLine(); !line.isEmpty(); line = caller.readLine()) {
-      if (line.toLowerCase(Locale.ROOT).startsWith("content-length:")) {
-        contentLength = Integer.parseInt(line.substring(15).strip());
-      }
-    }
-    String body = new String(caller.readBytes(contentLength), StandardCharsets.UTF_8);
-    assertTrue(caller.closedByPeer(), "the connection is not closed after one call");
-    return new Response(status, body);
-  }
-
-  private long readMetric(String name) throws Exception {
-    for (String line : call("GET", "/api/telemetry").body().lines().toList()) {
-      if (line.startsWith(name + " ")) {
-        return Long.parseLong(line.substring(name.length() + 1));
-      }
-    }
-    throw new AssertionError("the telemetry has no metric " + name);
-  }
-
-  /** Waits until a metric has this value: published snapshots are some milliseconds old. */
-  private void awaitMetric(String name, long value) throws Exception {
-    long deadlineNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
-    while (readMetric(name) != value) {
-      assertTrue(System.nanoTime() < deadlineNanos, name + " is " + readMetric(name));
-    }
-  }
-
   @ParameterizedTest
   @CsvSource({
     "GET, /api/ready, 200",
@@ -110,7 +71,7 @@
   })
   void answersWithStatusForMethodAndTarget(String method, String target, int status)
       throws Exception {
-    assertEquals(status, call(method, target).status());
+    assertEquals(status, admin.call(method, target).status());
   }
 
   @Test
@@ -123,10 +84,10 @@
             "PUT /api/include HTTP/1.1\r\nContent-Length: 9000\r\n\r\n" + "x".repeat(9000))) {
       try (ScriptedPeer caller = connectCaller()) {
         caller.write(text);
-        assertTrue(readResponse(caller).status() / 100 == 4);
+        assertTrue(AdminClient.readResponse(caller).status() / 100 == 4);
       }
     }
-    assertEquals(200, call("GET", "/api/ready").status());
+    assertEquals(200, admin.call("GET", "/api/ready").status());
   }
 
   @Test
@@ -136,7 +97,7 @@
       openCallers.add(connectCaller().write(i % 2 == 0 ? "" : "PUT /api/exclude?memb"));
       if (i % 10 == 9) {
         long startedAtNanos = System.nanoTime();
-        assertEquals(200, call("GET", "/api/ready").status());
+        assertEquals(200, admin.call("GET", "/api/ready").status());
         assertTrue(System.nanoTime() - startedAtNanos < 1_000_000_000L);
       }
     }
@@ -150,49 +111,49 @@
     rig.stallLoopWhile(
         1,
         () -> {
-          assertEquals(200, call("GET", "/api/ready").status());
-          assertEquals(200, call("GET", "/api/telemetry").status());
+          assertEquals(200, admin.call("GET", "/api/ready").status());
+          assertEquals(200, admin.call("GET", "/api/telemetry").status());
           // A command that times out is never run.
-          assertEquals(503, call("PUT", "/api/exclude?member=" + serverId).status());
+          assertEquals(503, admin.call("PUT", "/api/exclude?member=" + serverId).status());
         });
     rig.awaitLoopTurns();
-    assertEquals(0, readMetric("app_ejected"));
+    assertEquals(0, admin.readMetric("app_ejected"));
   }
 
   @Test
   void metricsCountEachRequestAndEachAttemptOnce() throws Exception {
-    assertEquals(0, readMetric("app_results{service=\"read\",disposition=\"succeeded\"}"));
+    assertEquals(0, admin.readMetric("app_results{service=\"read\",disposition=\"succeeded\"}"));
     ScriptedPeer client = rig.connectClient();
     client.write(NodeFixture.readCommand("a1", 2000));
     ScriptedPeer cache = rig.acceptCache();
     cache.readLine();
-    awaitMetric("app_outstanding", 1);
-    assertEquals(1, readMetric("app_forwards"));
+    admin.awaitMetric("app_outstanding", 1);
+    assertEquals(1, admin.readMetric("app_forwards"));
     cache.write("VA 1 Oa1\r\nx\r\n");
     client.readLine();
     client.readLine();
-    awaitMetric("app_results{service=\"read\",disposition=\"succeeded\"}", 1);
-    awaitMetric("app_outstanding", 0);
+    admin.awaitMetric("app_results{service=\"read\",disposition=\"succeeded\"}", 1);
+    admin.awaitMetric("app_outstanding", 0);
     client.write(NodeFixture.writeCommand("a2", 2000, "v"));
     cache.readLine();
     cache.readLine();
     cache.write("SERVER_ERROR failed\r\n");
     client.readLine();
-    awaitMetric("app_results{service=\"put\",disposition=\"aborted\"}", 1);
+    admin.awaitMetric("app_results{service=\"put\",disposition=\"aborted\"}", 1);
     client.write(NodeFixture.writeCommand("a3", 2000, "v"));
     cache.readLine();
     cache.readLine();
     cache.write("SERVER_ERROR busy\r\n");
     client.readLine();
-    awaitMetric("app_results{service=\"put\",disposition=\"declined\"}", 1);
+    admin.awaitMetric("app_results{service=\"put\",disposition=\"declined\"}", 1);
     // A request also ends when its client disconnects.
     client.write(NodeFixture.readCommand("a4", 2000));
     cache.readLine();
-    awaitMetric("app_outstanding", 1);
+    admin.awaitMetric("app_outstanding", 1);
     client.close();
-    awaitMetric("app_outstanding", 0);
-    assertEquals(4, readMetric("app_forwards"));
-    assertEquals(1, readMetric("app_discovered"));
+    admin.awaitMetric("app_outstanding", 0);
+    assertEquals(4, admin.readMetric("app_forwards"));
+    assertEquals(1, admin.readMetric("app_discovered"));
   }
 
   @Test
@@ -201,9 +162,9 @@
     client.write(NodeFixture.readCommand("a1", 2000));
     ScriptedPeer cache = rig.acceptCache();
     cache.readLine();
-    assertEquals(200, call("PUT", "/api/exclude?member=" + serverId).status());
-    assertEquals(200, call("PUT", "/api/exclude?member=" + serverId).status());
-    assertEquals(1, readMetric("app_ejected"));
+    assertEquals(200, admin.call("PUT", "/api/exclude?member=" + serverId).status());
+    assertEquals(200, admin.call("PUT", "/api/exclude?member=" + serverId).status());
+    assertEquals(1, admin.readMetric("app_ejected"));
     // The attempt in flight completes; its connection is not used again.
     cache.write("VA 1 Oa1\r\nx\r\n");
     assertEquals("VA 1 Oa1", client.readLine());
@@ -216,15 +177,15 @@
     while (!discovery.readLine().isEmpty()) {}
     discovery.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
     discovery.write(NodeFixture.chunk(NodeFixture.serverListJson(8, true) + "\n"));
-    awaitMetric("app_discovered", 0);
-    assertEquals(200, call("PUT", "/api/exclude?member=" + serverId).status());
+    admin.awaitMetric("app_discovered", 0);
+    assertEquals(200, admin.call("PUT", "/api/exclude?member=" + serverId).status());
     discovery.write(
         NodeFixture.chunk(NodeFixture.serverListJson(9, true, rig.cache.getLocalPort()) + "\n"));
-    awaitMetric("app_discovered", 1);
+    admin.awaitMetric("app_discovered", 1);
     client.write(NodeFixture.readCommand("a3", 2000));
     assertEquals("SERVER_ERROR busy", client.readLine());
-    assertEquals(200, call("PUT", "/api/include?member=" + serverId).status());
-    assertEquals(0, readMetric("app_ejected"));
+    assertEquals(200, admin.call("PUT", "/api/include?member=" + serverId).status());
+    assertEquals(0, admin.readMetric("app_ejected"));
     // The server is in slow start: for a second, a node without load may send it nothing.
     for (int i = 0; ; i++) {
       client.write(NodeFixture.readCommand("b" + i, 2000) + "mn\r\n");
@@ -255,7 +216,7 @@
               new Thread(
                   () -> {
                     try {
-                      call("PUT", "/api/exclude?member=" + serverId);
+                      admin.call("PUT", "/api/exclude?member=" + serverId);
                     } catch (IOException e) {
                       throw new IllegalStateException(e);
                     }
@@ -292,11 +253,11 @@
             .replace("\"attempts-cap\":1", "\"attempts-cap\":2");
     Files.writeString(file, newText.substring(0, newText.length() - 40));
     rig.node.reload(file.toString(), startupJson);
-    awaitMetric("app_sighup_rejected", 1);
+    admin.awaitMetric("app_sighup_rejected", 1);
     Files.writeString(file, newText);
     rig.node.reload(file.toString(), startupJson);
-    awaitMetric("app_sighup_applied", 1);
-    assertEquals(0, readMetric("app_results{service=\"more\",disposition=\"succeeded\"}"));
+    admin.awaitMetric("app_sighup_applied", 1);
+    assertEquals(0, admin.readMetric("app_results{service=\"more\",disposition=\"succeeded\"}"));
     // An open request keeps its settings: it is not idempotent and may have run, so it fails.
     cache.write("SERVER_ERROR failed\r\n");
     assertEquals("SERVER_ERROR failed", client.readLine());
@@ -315,7 +276,7 @@
     // A removed class is still accepted for a short time, then rejected; its metrics stay.
     Files.writeString(file, text);
     rig.node.reload(file.toString(), startupJson);
-    awaitMetric("app_sighup_applied", 2);
+    admin.awaitMetric("app_sighup_applied", 2);
     client.write("mg key v Oa4 Pc=more,d=900\r\n");
     cache.readLine();
     cache.write("VA 1 Oa4\r\nx\r\n");
@@ -334,7 +295,7 @@
       }
       assertTrue(tries < 50);
     }
-    awaitMetric("app_results{service=\"more\",disposition=\"succeeded\"}", 1 + tries);
+    admin.awaitMetric("app_results{service=\"more\",disposition=\"succeeded\"}", 1 + tries);
   }
 
   @Test
@@ -346,10 +307,10 @@
     Thread drainThread = new Thread(rig.node::drain);
     drainThread.start();
     long deadlineNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
-    while (call("GET", "/api/ready").status() != 503) {
+    while (admin.call("GET", "/api/ready").status() != 503) {
       assertTrue(System.nanoTime() < deadlineNanos);
     }
-    awaitMetric("app_outstanding", 1);
+    admin.awaitMetric("app_outstanding", 1);
     cache.write("VA 1 Oa1\r\nx\r\n");
     client.readLine();
     client.close();
--- a/engine/src/test/java/shalepaddle/node/RepeatedReplyTest.java
+++ b/engine/src/test/java/shalepaddle/node/RepeatedReplyTest.java
@@ -51,10 +51,14 @@
   }
 
   private void awaitRequest(String id) throws Exception {
-    String line = server.readLine();
+    awaitRequest(server, id);
+  }
+
+  private static void awaitRequest(ScriptedPeer connection, String id) throws Exception {
+    String line = connection.readLine();
     assertTrue(line != null && line.contains("O" + id + " "), "instead of " + id + ": " + line);
     if (line.startsWith("ms ")) {
-      server.readLine();
+      connection.readLine();
     }
   }
 
@@ -108,13 +112,11 @@
     try (NodeFixture otherRig = new NodeFixture(1)) {
       ScriptedPeer otherClient = otherRig.connectClient().write(write("a1"));
       ScriptedPeer otherServer = otherRig.acceptCache();
-      otherServer.readLine();
-      otherServer.readLine();
+      awaitRequest(otherServer, "a1");
       otherServer.write("SERVER_ERROR failed\r\n");
       assertEquals("SERVER_ERROR failed", otherClient.readLine());
       otherClient.write(write("b1"));
-      otherServer.readLine();
-      otherServer.readLine();
+      awaitRequest(otherServer, "b1");
       otherServer.write("SERVER_ERROR busy\r\n");
       assertEquals("SERVER_ERROR busy", otherClient.readLine());
     }
@@ -125,14 +127,12 @@
     try (NodeFixture otherRig = new NodeFixture(2)) {
       ScriptedPeer otherClient = otherRig.connectClient().write(write("a1"));
       ScriptedPeer rejectingConnection = otherRig.acceptCache();
-      rejectingConnection.readLine();
-      rejectingConnection.readLine();
+      awaitRequest(rejectingConnection, "a1");
       rejectingConnection.write("SERVER_ERROR busy\r\n");
       assertEquals("SERVER_ERROR busy", otherClient.readLine());
       otherClient.write(write("b1"));
       ScriptedPeer newConnection = otherRig.acceptCache();
-      assertTrue(newConnection.readLine().contains("Ob1 "));
-      newConnection.readLine();
+      awaitRequest(newConnection, "b1");
       newConnection.write("SERVER_ERROR busy\r\n");
       assertEquals("SERVER_ERROR busy", otherClient.readLine());
       assertNull(rejectingConnection.readLine());
@@ -144,11 +144,9 @@
     try (NodeFixture otherRig = new NodeFixture(1)) {
       ScriptedPeer otherClient = otherRig.connectClient().write(write("a1"));
       ScriptedPeer otherServer = otherRig.acceptCache();
-      assertTrue(otherServer.readLine().contains("Oa1 "));
-      otherServer.readLine();
+      awaitRequest(otherServer, "a1");
       ScriptedPeer nextClient = otherRig.connectClient().write(write("b1"));
-      assertTrue(otherServer.readLine().contains("Ob1 "));
-      otherServer.readLine();
+      awaitRequest(otherServer, "b1");
       otherServer.write("SERVER_ERROR busy\r\nHD Oa1 c7\r\n");
       assertEquals("HD Oa1 c7", otherClient.readLine());
       otherServer.close();
--- a/engine/src/test/java/shalepaddle/node/ServerDrainingTest.java
+++ b/engine/src/test/java/shalepaddle/node/ServerDrainingTest.java
@@ -6,8 +6,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.net.ServerSocket;
-import java.nio.charset.StandardCharsets;
-import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -31,8 +29,6 @@
   private static final String ADMIN_SERVER_SETTING =
       "},\"management\":\"127.0.0.1:0\",\"unused\":{";
 
-  private static final int MAX_TELEMETRY_BYTES = 1 << 16;
-
   private ServerSocket otherServer;
   private NodeFixture rig;
   private ScriptedPeer client;
@@ -67,20 +63,6 @@
     discovery.write(NodeFixture.chunk(list + "\n"));
   }
 
-  private void awaitListedServers(int expectedCount) throws Exception {
-    String expectedLine = "\napp_discovered " + expectedCount + "\n";
-    long deadlineNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
-    boolean isListed = false;
-    while (!isListed) {
-      assertTrue(System.nanoTime() < deadlineNanos, "the list is not applied");
-      try (ScriptedPeer caller = ScriptedPeer.connect(rig.node.adminAddress())) {
-        caller.write("GET /api/telemetry HTTP/1.1\r\nHost: node\r\n\r\n");
-        String response = new String(caller.readBytes(MAX_TELEMETRY_BYTES), StandardCharsets.UTF_8);
-        isListed = response.contains(expectedLine);
-      }
-    }
-  }
-
   @ParameterizedTest
   @ValueSource(strings = {"leaving", "left", "moved", "active"})
   void whatWaitsForAPlaceGoesElsewhere(String state) throws Exception {
@@ -93,7 +75,7 @@
     sendList(8, state);
     if (state.equals("active")) {
       // The list does not change the server; an operator excludes it instead.
-      awaitListedServers(2);
+      new AdminClient(rig.node.adminAddress()).awaitMetric("app_discovered", 2);
       try (ScriptedPeer caller = ScriptedPeer.connect(rig.node.adminAddress())) {
         String serverId = "s-" + rig.cache.getLocalPort();
         caller.write("PUT /api/exclude?member=" + serverId + " HTTP/1.1\r\nHost: node\r\n\r\n");
