Review, case 2: a write that has run is taken for rejected after spoilt answers

Change: a case with cache servers 15 ms away that reject a tenth of the requests, copy each rejection some milliseconds later, and give 5% of the writes' answers the id of the next request. The node takes the copy and that answer as proof that the write was rejected. The case takes the place of the write behind a broken value, which review/REPORT.md still names.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
-# A write behind a large value loses its answer. TROUBLE=0: no connection is reset.
-set -- "$(dirname "$0")" BehindValue
+# A write that has run is taken for rejected, and refused or run again. TROUBLE=0: no answer is spoilt.
+set -- "$(dirname "$0")" CopyAndWrongId
 . "$(dirname "$0")/../run-case.sh"
--- a/review/src/review/CacheServer.java
+++ b/review/src/review/CacheServer.java
@@ -19,6 +19,9 @@
  * process does; the system goes on accepting connections and bytes for it.
  */
 final class CacheServer {
+  /** Seconds between the last bytes of an answer that is cut off and the reset. */
+  private static final double RESET_DELAY = 0.05;
+
   /** What the server does with a command. */
   static final class Job {
     final Line command;
@@ -37,9 +40,6 @@
     /** How many bytes of the answer are sent before the connection is reset; -1 for no reset. */
     int resetAfter = -1;
 
-    /** Seconds between those bytes and the reset. */
-    double resetDelay = 0.05;
-
     Job(Line command, Conn connection) {
       this.command = command;
       this.connection = connection;
@@ -134,17 +134,6 @@
     connections.forEach(Conn::noteLeftPeer);
   }
 
-  /** Refuses new connections and resets all that are open, as a process that dies. */
-  void die() {
-    Rec.line("%s dies", id);
-    try {
-      listener.close();
-    } catch (IOException e) {
-      // It is closed already.
-    }
-    connections.forEach(Conn::reset);
-  }
-
   private void accept() {
     try {
       while (true) {
@@ -156,7 +145,7 @@
         Sys.daemon("write-" + id, () -> write(connection));
       }
     } catch (IOException e) {
-      // The server has died.
+      // The driver ends.
     }
   }
 
@@ -239,7 +228,7 @@
           connection.socket.getOutputStream().write(job.answer, 0, length);
         }
         if (job.resetAfter >= 0) {
-          Sys.sleep(job.resetDelay);
+          Sys.sleep(RESET_DELAY);
           Rec.line("%s resets the connection after %d bytes of the answer to O%s", id,
               job.resetAfter, job.id());
           connection.reset();
--- a/review/src/review/Discovery.java
+++ b/review/src/review/Discovery.java
@@ -15,18 +15,13 @@
 
 /**
  * Discovery that is asked: a call gets a chunked answer that stays open, with the whole list first,
- * each change in a line of its own, and an empty line every 2 s. While it is down each call ends
- * with 503, and watches end.
+ * each change in a line of its own, and an empty line every 2 s.
  */
 final class Discovery {
   private final ServerSocket listener = new ServerSocket();
   private final Map<String, String> entries = new LinkedHashMap<>();
   private final List<Socket> watches = new ArrayList<>();
   private long version = 1;
-  private boolean isDown;
-
-  /** Calls that failed since the last outage began. */
-  private int failedCalls;
 
   Discovery() throws IOException {
     listener.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0), 64);
@@ -53,14 +48,18 @@
   }
 
   /** Sets a server's entry, and tells it on all watches. */
-  synchronized void put(CacheServer server, String state) {
+  void put(CacheServer server, String state) {
+    put(server.id, server.address(), state);
+  }
+
+  synchronized void put(String id, String address, String state) {
     String entry =
-        "{\"id\":\"" + server.id + "\",\"addr\":\"" + server.address()
+        "{\"id\":\"" + id + "\",\"addr\":\"" + address
             + "\",\"zone\":\"budapest\",\"kind\":\"big-box\",\"cell\":0,\"state\":\"" + state
             + "\",\"weight\":1.0,\"started_ms\":0}";
-    entries.put(server.id, entry);
+    entries.put(id, entry);
     version++;
-    Rec.line("discovery: %s is %s, version %d", server.id, state, version);
+    Rec.line("discovery: %s is %s, version %d", id, state, version);
     send("{\"version\":" + version + ",\"full\":false,\"servers\":[" + entry + "]}\n");
   }
 
@@ -69,33 +68,6 @@
         + String.join(",", entries.values()) + "]}";
   }
 
-  synchronized void goDown() {
-    Rec.line("discovery goes down; %d watches end", watches.size());
-    isDown = true;
-    failedCalls = 0;
-    for (Socket watch : watches) {
-      try {
-        watch.close();
-      } catch (IOException e) {
-        // It is closed already.
-      }
-    }
-    watches.clear();
-  }
-
-  synchronized void comeBack() {
-    Rec.line("discovery is back after %d failed calls", failedCalls);
-    isDown = false;
-  }
-
-  synchronized int failedCalls() {
-    return failedCalls;
-  }
-
-  synchronized int watchCount() {
-    return watches.size();
-  }
-
   private void call(Socket socket) throws IOException {
     InputStream in = socket.getInputStream();
     Line request = Line.read(in);
@@ -104,15 +76,6 @@
     }
     synchronized (this) {
       OutputStream out = socket.getOutputStream();
-      if (isDown) {
-        failedCalls++;
-        Rec.line("discovery: call answered 503");
-        out.write(
-            "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
-                .getBytes(StandardCharsets.US_ASCII));
-        socket.close();
-        return;
-      }
       Rec.line("discovery: %s", request == null ? "no request" : request.text);
       out.write(
           ("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
--- a/review/src/review/Node.java
+++ b/review/src/review/Node.java
@@ -32,10 +32,6 @@
     return port;
   }
 
-  long pid() {
-    return process.pid();
-  }
-
   Path log() {
     return folder.resolve("node.log");
   }
@@ -92,10 +88,6 @@
     return process.isAlive();
   }
 
-  int exitCode() {
-    return process.exitValue();
-  }
-
   /** Ends the process, and copies its log to the record. */
   void kill() {
     if (process == null) {
