A no-op resolves attempts in doubt; a later reply's id no longer proves a rejection

Cause: `InFlightAttempts.confirmBefore` took a reply with an id for proof that all attempts before it were answered by the replies without an id. A copy of an earlier rejection and the write's own answer under the next request's id look the same as a rejection and the next request's answer.

Hypotheses: (1) the copy widens the match by one entry, and the wrong id matches there (the reviewer's guess); (2) the id in the answer is an earlier one's and dropped as a copy, while a later reply confirms; (3) the answer is lost on a connection that goes on; (4) the server runs what it rejected. 4 is excluded by the stand-ins' records; 1 and 2 are told apart by the id in the answer: both are shown by the tests (NEXT, PREVIOUS). 3 was not needed for any of the cases.

Change: replies that can be a copy, or another request's, are held while the attempts in flight are in doubt. A no-op is written behind these attempts, in front of the next request or after 50 ms alone. Its reply comes after all of theirs; which reply can answer which attempt is then enumerated (`ReplyAssignment`), and a rejection counts only if nothing else is possible. A reply to a no-op has no id either: `NoOpBarrier` demands more of them than copies can be outstanding.

RepeatedReplyIT, 1,926 requests a case: all six cases of a copy with a wrong id failed before (writes run twice, foreign receipts and values), pass now. Unit tests beside it.

`writeIsServedWhenRejectionOfTheNextOnePrecedesItsReply` asked to serve a write by a reply that can also be the next write's with a wrong id; its successor demands that it is neither served, nor rejected, nor sent again.

--- a/daemon/src/test/java/shalepaddle/daemon/RepeatedReplyIT.java
+++ b/daemon/src/test/java/shalepaddle/daemon/RepeatedReplyIT.java
@@ -35,6 +35,8 @@
   private static final int FAR_SERVER_COUNT = 2;
   private static final int FAR_LATENCY_MILLIS = 15;
   private static final double REJECTED_SHARE = 1.0 / 12;
+  private static final double WRONG_ID_SHARE = 0.15;
+  private static final double REJECTED_SHARE_WITH_WRONG_IDS = 0.25;
   private static final int REQUESTS_PER_SECOND = 320;
   private static final int RUN_MILLIS = 6000;
   private static final int DEADLINE_MILLIS = 1000;
@@ -123,6 +125,16 @@
     assertTrue(node.awaitListening(), "the node does not listen");
   }
 
+  private void sendWrongIds(ServerLink.OtherId otherId, boolean endsReplies) throws Exception {
+    farLink.setWrongIds(new ServerLink.WrongIds(WRONG_ID_SHARE, otherId, endsReplies));
+    runOnLoop(
+        () -> {
+          for (StandInServer server : servers.subList(0, FAR_SERVER_COUNT)) {
+            server.injectFault(Fault.BUSY, REJECTED_SHARE_WITH_WRONG_IDS);
+          }
+        });
+  }
+
   private StandInClients runClients(Traffic.RequestClass... classes) throws Exception {
     StandInClients clients =
         new StandInClients(
@@ -173,6 +185,43 @@
     assertTrue(farLink.sentCopies() > 50, "copies: " + farLink.sentCopies());
   }
 
+  /** A copied rejection, then an answer with another request's id, must prove nothing. */
+  @ParameterizedTest
+  @CsvSource({
+    "put, 2, 12, NEXT, true",
+    "put, 100, 400, NEXT, false",
+    "put, 2, 12, PREVIOUS, false",
+    "keyed, 2, 12, NEXT, true"
+  })
+  void writeIsNotRepeatedAfterCopyAndWrongId(
+      String writeClass,
+      int minDelayMillis,
+      int maxDelayMillis,
+      ServerLink.OtherId otherId,
+      boolean endsReplies)
+      throws Exception {
+    startNode(true);
+    farLink.setCopies(
+        new ServerLink.Copies("SERVER_ERROR busy", 1, minDelayMillis, maxDelayMillis));
+    sendWrongIds(otherId, endsReplies);
+    StandInClients clients = runClients(writes(writeClass, 0.8), reads(0.2));
+    assertEquals(List.of(), clients.violations());
+    assertTrue(farLink.sentWrongIds() > 20, "wrong ids: " + farLink.sentWrongIds());
+  }
+
+  /** A value that bears another read's id, after a copied rejection, must not serve that read. */
+  @ParameterizedTest
+  @CsvSource({"NEXT, true", "NEXT, false"})
+  void readIsServedWithItsOwnValueAfterCopyAndWrongId(
+      ServerLink.OtherId otherId, boolean endsReplies) throws Exception {
+    startNode(true);
+    farLink.setCopies(new ServerLink.Copies("SERVER_ERROR busy", 1, 2, 12));
+    sendWrongIds(otherId, endsReplies);
+    StandInClients clients = runClients(reads(1));
+    assertEquals(List.of(), clients.violations());
+    assertTrue(farLink.sentWrongIds() > 20, "wrong ids: " + farLink.sentWrongIds());
+  }
+
   @Test
   void readIsInFlightOnceAfterCopyOfEarlierRejection() throws Exception {
     startNode(false);
--- a/engine/src/main/java/shalepaddle/codec/meta/MetaReplyDecoder.java
+++ b/engine/src/main/java/shalepaddle/codec/meta/MetaReplyDecoder.java
@@ -60,6 +60,11 @@
     if (line == null) {
       return;
     }
+    line.nextToken();
+    if (line.tokenEquals(WireNames.HEALTHY)) {
+      out.add(ServerCodec.NO_OP_REPLY);
+      return;
+    }
     ServerReply reply = parse(line);
     if (valueBytes < 0) {
       out.add(reply);
@@ -104,9 +109,8 @@
     }
   }
 
-  /** Parses the line of a reply and sets {@link #valueBytes}. */
+  /** Parses a line from its first token on, and sets {@link #valueBytes}. */
   private ServerReply parse(MetaLine line) throws MetaLine.MalformedException {
-    line.nextToken();
     Outcome.Result result = Outcome.Result.OK;
     valueBytes = -1;
     if (line.tokenEquals(WireNames.VALUE)) {
--- a/engine/src/main/java/shalepaddle/codec/meta/MetaServerCodec.java
+++ b/engine/src/main/java/shalepaddle/codec/meta/MetaServerCodec.java
@@ -22,6 +22,16 @@
         : compose(allocator, call, Math.max(1, timeoutMillis));
   }
 
+  @Override
+  public ByteBuf encodeNoOps(ByteBufAllocator allocator, int count) {
+    ByteBuf bytes = allocator.buffer(count * (WireNames.HEALTH_CHECK.length() + 2));
+    for (int i = 0; i < count; i++) {
+      ByteBufUtil.writeAscii(bytes, WireNames.HEALTH_CHECK);
+      bytes.writeShort(MetaReplies.CRLF);
+    }
+    return bytes;
+  }
+
   /** Encodes a request that was not received in the meta protocol. Retains the value. */
   private static ByteBuf compose(ByteBufAllocator allocator, Call call, long timeoutMillis) {
     Request request = call.request();
--- a/engine/src/main/java/shalepaddle/upstream/ServerConnection.java
+++ b/engine/src/main/java/shalepaddle/upstream/ServerConnection.java
@@ -30,9 +30,6 @@
 
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
-  /** Bounds the attempts that are kept because their replies are unconfirmed. */
-  private static final int MAX_UNCONFIRMED_ATTEMPTS = 64;
-
   /** Whether received bytes can be used. */
   private enum State {
     OPEN,
@@ -47,6 +44,7 @@
   private final ServerCodec.ReplyDecoder decoder;
   private final LoopClock clock;
   private final InFlightAttempts inFlightAttempts;
+  private final InDoubtResolver inDoubtResolver;
   private final ReceiveActivity receiveActivity;
   private final long openedAtNanos;
   private Channel channel;
@@ -73,6 +71,7 @@
     clock = dispatcher.clock();
     openedAtNanos = clock.refresh();
     inFlightAttempts = new InFlightAttempts(openedAtNanos);
+    inDoubtResolver = new InDoubtResolver(inFlightAttempts, dispatcher, codec);
     receiveActivity = new ReceiveActivity(clock);
   }
 
@@ -80,6 +79,7 @@
   ChannelFuture open(Bootstrap bootstrap, SocketAddress address) {
     ChannelFuture future = bootstrap.clone().handler(this).connect(address);
     channel = future.channel();
+    inDoubtResolver.setChannel(channel);
     return future;
   }
 
@@ -136,9 +136,9 @@
     return inFlightAttempts.isRejectionAmbiguous();
   }
 
-  /** Whether an attempt waits for a later reply to confirm its rejection. */
+  /** Whether an attempt in doubt waits for a request behind it. */
   boolean hasUnconfirmedAttempt() {
-    return inFlightAttempts.isAnyUnconfirmedAwaited();
+    return inFlightAttempts.isAnyInDoubtAwaited();
   }
 
   /** Writes an attempt, or has the dispatcher withdraw it if it must not be written any more. */
@@ -152,9 +152,10 @@
     attempt.assignTo(this);
     inFlightAttempts.add(attempt, now);
     long timeoutMillis = (attempt.deadlineNanos() - now + NANOS_PER_MILLI - 1) / NANOS_PER_MILLI;
+    ByteBuf request = codec.encode(channel.alloc(), attempt.call(), timeoutMillis);
+    inDoubtResolver.writeInFrontOf(request);
     // The channel owns the encoded bytes from here on.
-    ChannelFuture writeFuture =
-        channel.writeAndFlush(codec.encode(channel.alloc(), attempt.call(), timeoutMillis));
+    ChannelFuture writeFuture = channel.writeAndFlush(request);
     if (!writeFuture.isDone()) {
       isWritePending = true;
       writeFuture.addListener(done -> pendingWriteDone(attempt, done.isSuccess()));
@@ -196,6 +197,8 @@
     isReadInProgress = true;
     if (message instanceof ByteBuf chunk) {
       chunkReceived(chunk);
+    } else if (message == ServerCodec.NO_OP_REPLY) {
+      noOpReplyReceived();
     } else if (message == LargeReply.END) {
       streamCompleted();
     } else if (message instanceof LargeReply largeReply) {
@@ -212,6 +215,19 @@
     }
   }
 
+  private void noOpReplyReceived() {
+    if (state != State.OPEN) {
+      return;
+    }
+    isAcceptedByServer = true;
+    inFlightAttempts.markChanged(clock.refresh());
+    if (!inDoubtResolver.noOpReplyReceived()) {
+      closeCorrupted("reply to a no-op does not follow the replies to the requests before it");
+    } else if (isDraining || inDoubtResolver.isExhausted()) {
+      drain();
+    }
+  }
+
   private void replyReceived(ServerReply reply) {
     Attempt oldestAttempt = match(reply, false);
     if (oldestAttempt == null) {
@@ -253,15 +269,16 @@
     if (state != State.OPEN) {
       return null;
     }
-    switch (inFlightAttempts.match(reply, isLarge)) {
+    InFlightAttempts.Match match = inFlightAttempts.match(reply, isLarge);
+    inDoubtResolver.update();
+    switch (match) {
       case OLDEST -> {
         reportIdlePeriod(false);
-        endConfirmed();
         return inFlightAttempts.oldestAttempt();
       }
-      case UNCONFIRMED -> {
+      case HELD -> {
         reportIdlePeriod(false);
-        unconfirmedReplyReceived(reply);
+        heldReplyReceived(reply);
       }
       case DUPLICATE -> duplicateReceived();
       case NONE -> closeCorrupted("reply matches no request in flight");
@@ -269,27 +286,20 @@
     return null;
   }
 
-  /** Ends the attempts that were answered before the one whose reply was matched last. */
-  private void endConfirmed() {
-    for (InFlightAttempts.Confirmation confirmation = inFlightAttempts.pollConfirmation();
-        confirmation != null;
-        confirmation = inFlightAttempts.pollConfirmation()) {
-      dispatcher.replyConfirmed(confirmation.attempt(), confirmation.result());
-    }
-  }
-
-  private void unconfirmedReplyReceived(ServerReply reply) {
-    Attempt attempt = inFlightAttempts.lastUnconfirmed();
+  private void heldReplyReceived(ServerReply reply) {
     inFlightAttempts.markChanged(clock.refresh());
-    if (dispatcher.unconfirmedReplyReceived(attempt, reply)) {
-      inFlightAttempts.stopAwaiting(attempt);
+    if (reply.id() == null) {
+      Attempt attempt = inFlightAttempts.attemptOfLastHeld();
+      if (dispatcher.unconfirmedReplyReceived(attempt, reply)) {
+        inFlightAttempts.stopAwaiting(attempt);
+      }
     }
-    if (isDraining || inFlightAttempts.unconfirmedCount() >= MAX_UNCONFIRMED_ATTEMPTS) {
+    if (isDraining) {
       drain();
     }
   }
 
-  /** Replaces the connection, unless a later reply on it may still confirm a rejection. */
+  /** Replaces the connection, unless an attempt in doubt on it waits for a request behind it. */
   private void duplicateReceived() {
     dispatcher.countDuplicateReply();
     if (!hasUnconfirmedAttempt()) {
@@ -365,7 +375,9 @@
   public void channelReadComplete(ChannelHandlerContext ctx) {
     receiveActivity.markActive();
     isReadInProgress = false;
-    if (inFlightAttempts.isEmpty() && decoder.isMidReply()) {
+    if (inFlightAttempts.isEmpty()
+        && !inDoubtResolver.isReplyOutstanding()
+        && decoder.isMidReply()) {
       closeCorrupted("unexpected bytes after the last reply");
     }
     if (state == State.OPEN && !isDraining) {
--- a/engine/src/test/java/shalepaddle/node/AdminServerTest.java
+++ b/engine/src/test/java/shalepaddle/node/AdminServerTest.java
@@ -262,15 +262,19 @@
     cache.write("SERVER_ERROR failed\r\n");
     assertEquals("SERVER_ERROR failed", client.readLine());
     client.write(NodeFixture.writeCommand("a2", 2000, "v"));
-    for (int attempt = 0; attempt < 2; attempt++) {
-      assertTrue(cache.readLine().contains("Oa2 "));
-      cache.readLine();
-      cache.write("SERVER_ERROR failed\r\n");
-    }
+    assertTrue(cache.readLine().contains("Oa2 "));
+    cache.readLine();
+    cache.write("SERVER_ERROR failed\r\n");
+    // The failure may be a copy of the first one: a no-op in front of the retry tells.
+    assertEquals("mn", cache.readLine());
+    assertTrue(cache.readLine().contains("Oa2 "));
+    cache.readLine();
+    cache.write("MN\r\nSERVER_ERROR failed\r\n");
     assertEquals("SERVER_ERROR busy", client.readLine());
     client.write("mg key v Oa3 Pc=more,d=900\r\n");
+    assertEquals("mn", cache.readLine());
     cache.readLine();
-    cache.write("VA 1 Oa3\r\nx\r\n");
+    cache.write("MN\r\nVA 1 Oa3\r\nx\r\n");
     assertEquals("VA 1 Oa3", client.readLine());
     client.readLine();
     // A removed class is still accepted for a short time, then rejected; its metrics stay.
--- a/engine/src/test/java/shalepaddle/node/RepeatedReplyTest.java
+++ b/engine/src/test/java/shalepaddle/node/RepeatedReplyTest.java
@@ -62,6 +62,10 @@
     }
   }
 
+  private void awaitNoOp() throws Exception {
+    assertEquals("mn", server.readLine());
+  }
+
   @ParameterizedTest
   @ValueSource(ints = {1, 2})
   void writeIsServedWhenCopiesOfEarlierRejectionPrecedeItsReply(int copies) throws Exception {
@@ -74,14 +78,83 @@
   }
 
   @Test
-  void writeIsRejectedOnceLaterReplyConfirmsItsRejection() throws Exception {
+  void writeIsRejectedOnceNoOpInFrontOfNextRequestConfirmsItsRejection() throws Exception {
     client.write(write("b1"));
     awaitRequest("b1");
     server.write("SERVER_ERROR busy\r\n");
     rig.awaitLoopTurns();
     secondClient.write(read("c1"));
+    awaitNoOp();
     awaitRequest("c1");
-    server.write("VA 1 Oc1\r\nx\r\n");
+    server.write("MN\r\nVA 1 Oc1\r\nx\r\n");
+    assertEquals("SERVER_ERROR busy", client.readLine());
+    assertEquals("VA 1 Oc1", secondClient.readLine());
+  }
+
+  @Test
+  void writeIsRejectedOnceNoOpConfirmsItsRejectionWithoutNextRequest() throws Exception {
+    client.write(write("b1"));
+    awaitRequest("b1");
+    server.write("SERVER_ERROR busy\r\n");
+    awaitNoOp();
+    server.write("MN\r\n");
+    assertEquals("SERVER_ERROR busy", client.readLine());
+  }
+
+  /** Guards against a copied rejection as proof when the answer bears the next write's id. */
+  @Test
+  void writeIsNotRejectedWhenItsReplyBearsIdOfNextWrite() throws Exception {
+    client.write(write("b1"));
+    awaitRequest("b1");
+    server.write("SERVER_ERROR busy\r\n");
+    rig.awaitLoopTurns();
+    secondClient.write(write("c1"));
+    awaitNoOp();
+    awaitRequest("c1");
+    server.write("HD Oc1 c7\r\n");
+    assertEquals("SERVER_ERROR failed", client.readLine());
+    assertEquals("SERVER_ERROR failed", secondClient.readLine());
+  }
+
+  /** Guards against a copied rejection as proof when the answer bears an earlier request's id. */
+  @Test
+  void writeIsNotRejectedWhenItsReplyBearsIdOfEarlierRead() throws Exception {
+    client.write(read("b1"));
+    awaitRequest("b1");
+    server.write("VA 1 Ob1\r\nx\r\n");
+    assertEquals("VA 1 Ob1", client.readLine());
+    assertEquals("x", client.readLine());
+    client.write(write("c1"));
+    awaitRequest("c1");
+    server.write("VA 1 Ob1\r\nx\r\nSERVER_ERROR busy\r\n");
+    awaitNoOp();
+    server.write("MN\r\n");
+    assertEquals("SERVER_ERROR failed", client.readLine());
+  }
+
+  /** Guards against an answer with another read's id, after a copied rejection, serving it. */
+  @Test
+  void readIsNotServedWithReplyToEarlierReadThatBearsItsId() throws Exception {
+    client.write(read("b1"));
+    awaitRequest("b1");
+    server.write("SERVER_ERROR busy\r\n");
+    assertEquals("SERVER_ERROR busy", client.readLine());
+    secondClient.write(read("c1"));
+    awaitNoOp();
+    awaitRequest("c1");
+    server.write("VA 1 Oc1\r\ny\r\n");
+    assertEquals("SERVER_ERROR busy", secondClient.readLine());
+  }
+
+  @Test
+  void pipelinedRequestsAreResolvedTogetherByTheirOrder() throws Exception {
+    client.write(write("b1"));
+    awaitRequest("b1");
+    secondClient.write(read("c1"));
+    awaitRequest("c1");
+    server.write("SERVER_ERROR busy\r\nVA 1 Oc1\r\nx\r\n");
+    awaitNoOp();
+    server.write("MN\r\n");
     assertEquals("SERVER_ERROR busy", client.readLine());
     assertEquals("VA 1 Oc1", secondClient.readLine());
   }
@@ -93,8 +166,9 @@
     server.write("SERVER_ERROR busy\r\nSERVER_ERROR failed\r\n");
     rig.awaitLoopTurns();
     secondClient.write(read("c1"));
+    awaitNoOp();
     awaitRequest("c1");
-    server.write("VA 1 Oc1\r\nx\r\n");
+    server.write("MN\r\nVA 1 Oc1\r\nx\r\n");
     assertEquals("SERVER_ERROR failed", client.readLine());
     assertEquals("VA 1 Oc1", secondClient.readLine());
   }
@@ -139,8 +213,12 @@
     }
   }
 
+  /**
+   * The reply can be the first write's, sent out of order, or the second one's with a wrong id: the
+   * first must be neither served, nor rejected, nor sent again.
+   */
   @Test
-  void writeIsServedWhenRejectionOfTheNextOnePrecedesItsReply() throws Exception {
+  void writeFailsWhenReplyWithItsIdFollowsRejectionWithTwoInFlight() throws Exception {
     try (NodeFixture otherRig = new NodeFixture(1)) {
       ScriptedPeer otherClient = otherRig.connectClient().write(write("a1"));
       ScriptedPeer otherServer = otherRig.acceptCache();
@@ -148,9 +226,11 @@
       ScriptedPeer nextClient = otherRig.connectClient().write(write("b1"));
       awaitRequest(otherServer, "b1");
       otherServer.write("SERVER_ERROR busy\r\nHD Oa1 c7\r\n");
-      assertEquals("HD Oa1 c7", otherClient.readLine());
-      otherServer.close();
+      assertEquals("mn", otherServer.readLine());
+      otherServer.write("MN\r\n");
+      assertEquals("SERVER_ERROR failed", otherClient.readLine());
       assertEquals("SERVER_ERROR failed", nextClient.readLine());
+      assertNull(otherServer.readLine(), "sent again");
     }
   }
 
@@ -177,9 +257,9 @@
     secondClient.write(write("c1"));
     awaitRequest("c1");
     server.write("SERVER_ERROR busy\r\nSERVER_ERROR busy\r\nHD Ob1 c7\r\n");
-    assertEquals("HD Ob1 c7", client.readLine());
     rig.awaitLoopTurns();
-    server.write("HD Oc1 c8\r\n");
+    server.write("HD Oc1 c8\r\nMN\r\n");
+    assertEquals("HD Ob1 c7", client.readLine());
     assertEquals("HD Oc1 c8", secondClient.readLine());
   }
 
@@ -188,6 +268,7 @@
     client.write(write("b1"));
     awaitRequest("b1");
     server.write("SERVER_ERROR busy\r\n");
+    awaitNoOp();
     assertEquals("SERVER_ERROR failed", client.readLine());
     assertNull(server.readLine(), "the connection is still used");
   }
@@ -199,8 +280,9 @@
     server.write("SERVER_ERROR busy\r\n");
     assertEquals("SERVER_ERROR busy", client.readLine());
     secondClient.write(read("c1"));
+    awaitNoOp();
     awaitRequest("c1");
-    server.write("VA 1 Ob1\r\ny\r\nVA 1 Oc1\r\nx\r\n");
+    server.write("VA 1 Ob1\r\ny\r\nMN\r\nVA 1 Oc1\r\nx\r\n");
     assertEquals("VA 1 Oc1", secondClient.readLine());
     assertEquals("x", secondClient.readLine());
   }
--- a/testkit/src/main/java/shalepaddle/testkit/MetaRequest.java
+++ b/testkit/src/main/java/shalepaddle/testkit/MetaRequest.java
@@ -11,9 +11,9 @@
 /**
  * A command received by a cache server.
  *
- * @param isWrite true for {@code ms}, false for {@code mg}
- * @param key the key that is read or written
- * @param id the request id
+ * @param isWrite true for {@code ms}
+ * @param key the key that is read or written, null for a no-op ({@code mn})
+ * @param id the request id, null for a no-op
  * @param properties names and values from the command's {@code P} flag
  * @param value the value of a write, null for a read
  */
@@ -27,6 +27,10 @@
     return Long.parseLong(properties.getOrDefault("d", "0"));
   }
 
+  boolean isNoOp() {
+    return key == null;
+  }
+
   /** Decodes commands; throws if a command is unknown or malformed. */
   static final class Decoder extends ByteToMessageDecoder {
     private String[] tokens;
@@ -51,6 +55,10 @@
         }
         value = new byte[valueBytes];
         in.readBytes(value).skipBytes(2);
+      } else if (tokens[0].equals("mn")) {
+        tokens = null;
+        out.add(new MetaRequest(false, null, null, Map.of(), null));
+        return;
       } else if (!tokens[0].equals("mg")) {
         throw new IllegalArgumentException("unknown command: " + tokens[0]);
       }
--- a/testkit/src/main/java/shalepaddle/testkit/ServerLink.java
+++ b/testkit/src/main/java/shalepaddle/testkit/ServerLink.java
@@ -6,15 +6,18 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPromise;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /**
  * The network between load balancers and a {@link StandInServer}: every byte takes a fixed time in
- * either direction, and some replies arrive a second time later. Pass it to {@link
- * LoopbackTransport#sockets(io.netty.channel.EventLoop, Consumer)} as the interceptor of accepted
- * connections. All methods are called on the transport's event loop.
+ * either direction, some replies arrive a second time later, and some bear the id of another
+ * request. Pass it to {@link LoopbackTransport#sockets(io.netty.channel.EventLoop, Consumer)} as
+ * the interceptor of accepted connections. All methods are called on the transport's event loop.
  */
 public final class ServerLink implements Consumer<Channel> {
   /**
@@ -27,9 +30,30 @@
    */
   public record Copies(String replyPrefix, double share, int minDelayMillis, int maxDelayMillis) {}
 
+  /** Whose id a reply with a wrong id bears. */
+  public enum OtherId {
+    /** The oldest request that waits behind on the connection; an unknown one if there is none. */
+    NEXT,
+    /** The request that was answered last on the connection; an unknown one if there is none. */
+    PREVIOUS
+  }
+
+  /**
+   * Which replies bear the id of another request.
+   *
+   * @param share share of the served replies that do
+   * @param endsReplies whether nothing more is sent on the connection after such a reply
+   */
+  public record WrongIds(double share, OtherId otherId, boolean endsReplies) {}
+
+  private static final Pattern REQUEST_ID = Pattern.compile(" O([0-9A-Za-z]+)");
+  private static final String UNKNOWN_ID = "0123456789abcdef";
+
   private final int latencyMillis;
   private final SplittableRandom random;
   private Copies copies;
+  private WrongIds wrongIds;
+  private int sentWrongIds;
   private int sentCopies;
   private int acceptedConnections;
 
@@ -48,6 +72,16 @@
     copies = newCopies;
   }
 
+  /** Sends wrong ids from now on; null ends them. */
+  public void setWrongIds(WrongIds newWrongIds) {
+    wrongIds = newWrongIds;
+  }
+
+  /** The number of replies with a wrong id sent so far. */
+  public int sentWrongIds() {
+    return sentWrongIds;
+  }
+
   /** The number of copies sent so far. */
   public int sentCopies() {
     return sentCopies;
@@ -65,9 +99,23 @@
   }
 
   private final class Delay extends ChannelDuplexHandler {
+    /** The ids of the requests that the server has and has not answered, oldest first. */
+    private final ArrayDeque<String> waitingIds = new ArrayDeque<>();
+
+    private String previousId = UNKNOWN_ID;
+    private boolean hasEndedReplies;
+
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
-      delay(ctx, latencyMillis, () -> ctx.fireChannelRead(message));
+      delay(ctx, latencyMillis, () -> requestArrived(ctx, (ByteBuf) message));
+    }
+
+    private void requestArrived(ChannelHandlerContext ctx, ByteBuf bytes) {
+      Matcher matcher = REQUEST_ID.matcher(bytes.toString(StandardCharsets.ISO_8859_1));
+      while (matcher.find()) {
+        waitingIds.add(matcher.group(1));
+      }
+      ctx.fireChannelRead(bytes);
     }
 
     @Override
@@ -78,6 +126,37 @@
     @Override
     public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
       ByteBuf reply = (ByteBuf) message;
+      if (hasEndedReplies) {
+        reply.release();
+        promise.setSuccess();
+        return;
+      }
+      if (!reply.toString(StandardCharsets.ISO_8859_1).startsWith("MN")) {
+        reply = withDrawnId(ctx, reply, waitingIds.poll());
+      }
+      send(ctx, reply, promise);
+    }
+
+    /** Returns the reply, or takes its ownership and returns another one with a wrong id. */
+    private ByteBuf withDrawnId(ChannelHandlerContext ctx, ByteBuf reply, String id) {
+      String text = reply.toString(StandardCharsets.ISO_8859_1);
+      boolean isServed = text.startsWith("HD ") || text.startsWith("VA ");
+      if (wrongIds == null || !isServed || random.nextDouble() >= wrongIds.share()) {
+        previousId = id == null ? UNKNOWN_ID : id;
+        return reply;
+      }
+      sentWrongIds++;
+      hasEndedReplies = wrongIds.endsReplies();
+      String nextId = waitingIds.isEmpty() ? UNKNOWN_ID : waitingIds.peek();
+      String otherId = wrongIds.otherId() == OtherId.NEXT ? nextId : previousId;
+      reply.release();
+      ByteBuf changedReply = ctx.alloc().buffer();
+      changedReply.writeCharSequence(
+          text.replaceFirst("O" + id, "O" + otherId), StandardCharsets.ISO_8859_1);
+      return changedReply;
+    }
+
+    private void send(ChannelHandlerContext ctx, ByteBuf reply, ChannelPromise promise) {
       if (copies != null && isCopied(reply)) {
         ByteBuf copy = reply.copy();
         int copyDelayMillis = random.nextInt(copies.minDelayMillis(), copies.maxDelayMillis() + 1);
--- a/testkit/src/main/java/shalepaddle/testkit/StandInServer.java
+++ b/testkit/src/main/java/shalepaddle/testkit/StandInServer.java
@@ -266,6 +266,12 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, MetaRequest request) {
+      if (request.isNoOp()) {
+        Job noOp = new Job(this, request, null);
+        outstandingJobs.add(noOp);
+        noOp.respond("MN\r\n");
+        return;
+      }
       long arrivedAtNanos =
           readDelayedSinceNanos >= 0 ? readDelayedSinceNanos : transport.nowNanos();
       effectLog.recordArrival(request.id(), new EffectLog.Arrival(id, group, arrivedAtNanos));
@@ -316,7 +322,9 @@
     private void sendReadyResponses() {
       for (Job job = outstandingJobs.peek(); job != null && job.response != null && !stalled; ) {
         outstandingJobs.poll();
-        effectLog.recordEnd(job.request.id());
+        if (!job.request.isNoOp()) {
+          effectLog.recordEnd(job.request.id());
+        }
         sendResponse(job);
         job = outstandingJobs.peek();
       }
@@ -379,7 +387,11 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
-      outstandingJobs.forEach(job -> effectLog.recordEnd(job.request.id()));
+      for (Job job : outstandingJobs) {
+        if (!job.request.isNoOp()) {
+          effectLog.recordEnd(job.request.id());
+        }
+      }
       outstandingJobs.clear();
     }
 
