A client that takes bytes is not cut off, however the kernel accepts them from the node

Callers saw: clients that read values of some 4 MB at 64 to 250 KiB/s, without a pause, were disconnected before the end.

Hypotheses: (1) the limit on a write stall takes the kernel's steps for the client's silence; (2) a value counts as answered while bytes of it are unsent, and the idle limit closes over them (both the reviewer's); (3) the cache server's pause limit; (4) memory or crowding. What tells them apart is the reason of the close (`app_client_closes`): `slow_reader` for 1, `timeout` for 2; 3 would be `value_cut_off`, 4 `crowded`. 1 and 2 were at work.

Cause: progress was judged by Netty's writability. The kernel accepts bytes again only once a third of its buffer (1.3 MB here) is free, which takes a slow client 5 to 20 s; and "handed to Netty" counted as "with the client".

Change: `WriteProgress` counts what the client has taken: bytes written, less those unsent, less those the kernel holds unacknowledged (`SendQueueTable`, Linux's tables of sockets, read once a second at most and only while a connection shows no other progress). A connection awaits its response until all is sent; write stall, closing, half-close and crowding use one measure. Clients that take nothing for 10 s are aborted, on closing and half-closed connections too; for a new connection, after 1 s there.

SlowClientIT on the code before: readers at 100 KiB/s and of lengths around what the kernel holds are cut off; all pass now, as does the other side, 30 clients that stop reading. Its tests of a value behind another and before a protocol error passed before too. Unit tests of both new classes.

Also: a connection for a write after a rejection is opened every 2 s, not 1 s, at most, since a no-op proves rejections now.

--- a/engine/src/main/java/shalepaddle/front/ClientConnections.java
+++ b/engine/src/main/java/shalepaddle/front/ClientConnections.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeUnit;
 import shalepaddle.diagnostics.Event;
 import shalepaddle.loop.LoopClock;
+import shalepaddle.sockets.SendQueueTable;
 
 /**
  * All client connections by their status. Limits their number, closes connections that have not
@@ -48,10 +49,16 @@
   /** How long a connection is kept open between requests. */
   private static final long MAX_IDLE_NANOS = 4_000_000_000L;
 
-  /** Maximum time to send the last responses on a connection. */
-  private static final long MAX_CLOSING_NANOS = 1_000_000_000L;
+  /**
+   * A closing connection whose client has taken no bytes for this time may be aborted for a new
+   * connection.
+   */
+  private static final long MIN_CLOSING_STALL_NANOS = 1_000_000_000L;
 
-  /** Maximum time until a client closes its end after this node has closed its own end. */
+  /**
+   * Maximum time until a client closes its end after this node has closed its own end and the
+   * client has taken all bytes.
+   */
   private static final long MAX_HALF_CLOSED_NANOS = 250_000_000L;
 
   /** Each step of a drain closes one idle connection plus 1/64 of those that are idle then. */
@@ -98,6 +105,7 @@
 
   private int maxConnections;
   private final LoopClock clock;
+  private final SendQueueTable sendQueues;
 
   /**
    * The connections that have each status, in the order in which they entered the status, with the
@@ -118,6 +126,7 @@
   public ClientConnections(int maxConnections, LoopClock clock) {
     this.maxConnections = maxConnections;
     this.clock = clock;
+    this.sendQueues = new SendQueueTable(clock::activeNanos);
     for (Status status : Status.values()) {
       connectionsByStatus.put(status, new LinkedHashMap<>());
     }
@@ -128,6 +137,11 @@
     return "c" + nameCount++;
   }
 
+  /** What the kernel has not delivered to clients. */
+  SendQueueTable sendQueues() {
+    return sendQueues;
+  }
+
   /** Changes the limit; connections beyond it stay open. */
   public void setMaxConnections(int connections) {
     maxConnections = Math.max(1, connections);
@@ -149,6 +163,8 @@
         || endOldest(Status.UNUSED, isFlooded ? now : now - MIN_UNUSED_NANOS)
         || endOldest(Status.IDLE, now - MIN_UNUSED_NANOS)
         || endSilent(now - MIN_COMMAND_SILENCE_NANOS)
+        || abortStalled(Status.CLOSING)
+        || abortStalled(Status.HALF_CLOSED)
         || endOldest(Status.UNUSED, now)
         || endSilent(now - MIN_UNUSED_NANOS);
   }
@@ -177,7 +193,7 @@
    */
   private boolean endOldest(Status status, long beforeNanos) {
     for (ClientHandler client : enteredBefore(status, beforeNanos, MAX_CANDIDATES)) {
-      if (status == Status.HALF_CLOSED) {
+      if (status == Status.HALF_CLOSED && !client.hasUntakenBytes()) {
         client.abort(Event.CLOSE_CROWDED);
         return true;
       }
@@ -188,6 +204,17 @@
     return false;
   }
 
+  /** Aborts one connection that is to end and whose client takes no bytes. */
+  private boolean abortStalled(Status status) {
+    for (ClientHandler client : enteredBefore(status, clock.activeNanos(), MAX_CANDIDATES)) {
+      if (client.isWriteStalled(MIN_CLOSING_STALL_NANOS)) {
+        client.abort(Event.CLOSE_CROWDED);
+        return true;
+      }
+    }
+    return false;
+  }
+
   /**
    * Called when the listener was closed. Idle connections are kept open from then on: their clients
    * could not reconnect to this node, and would overload other nodes.
@@ -263,22 +290,29 @@
       endAll(Status.IDLE, Event.CLOSE_IDLE, now - MAX_IDLE_NANOS);
     }
     closeIdleIfCrowded();
-    abortAll(Status.HALF_CLOSED, now - MAX_HALF_CLOSED_NANOS);
-    abortAll(Status.CLOSING, now - MAX_CLOSING_NANOS);
-    for (ClientHandler client : enteredBefore(Status.AWAITING_RESPONSE, now, Integer.MAX_VALUE)) {
-      client.abortIfWriteStalled();
+    for (ClientHandler client :
+        enteredBefore(Status.HALF_CLOSED, now - MAX_HALF_CLOSED_NANOS, Integer.MAX_VALUE)) {
+      if (!client.hasUntakenBytes()) {
+        client.abort(Event.CLOSE_TIMEOUT);
+      }
     }
+    abortStopped(Status.AWAITING_RESPONSE);
+    abortStopped(Status.CLOSING);
+    abortStopped(Status.HALF_CLOSED);
   }
 
-  private void endAll(Status status, Event reason, long beforeNanos) {
-    for (ClientHandler client : enteredBefore(status, beforeNanos, Integer.MAX_VALUE)) {
-      client.endIfNothingUnread(reason, false);
+  /** Aborts the connections whose clients have stopped to take bytes. */
+  private void abortStopped(Status status) {
+    for (ClientHandler client : enteredBefore(status, clock.activeNanos(), Integer.MAX_VALUE)) {
+      if (client.isWriteStalled(ClientHandler.MAX_WRITE_STALL_NANOS)) {
+        client.abort(Event.CLOSE_SLOW_READER);
+      }
     }
   }
 
-  private void abortAll(Status status, long beforeNanos) {
+  private void endAll(Status status, Event reason, long beforeNanos) {
     for (ClientHandler client : enteredBefore(status, beforeNanos, Integer.MAX_VALUE)) {
-      client.abort(Event.CLOSE_TIMEOUT);
+      client.endIfNothingUnread(reason, false);
     }
   }
 
--- a/engine/src/main/java/shalepaddle/front/ClientHandler.java
+++ b/engine/src/main/java/shalepaddle/front/ClientHandler.java
@@ -23,8 +23,8 @@
 final class ClientHandler extends ChannelInboundHandlerAdapter {
   private static final double NANOS_PER_SECOND = 1e9;
 
-  /** How long a connection may stay unwritable because the client does not read, in active time. */
-  private static final long MAX_WRITE_STALL_NANOS = 10_000_000_000L;
+  /** How long a client may take no bytes while some wait for it, in active time. */
+  static final long MAX_WRITE_STALL_NANOS = 10_000_000_000L;
 
   /**
    * How long reading is suspended after the half-close. Requests that the client sends before it
@@ -52,6 +52,7 @@
   private final InboundBuffer inboundBuffer;
   private final ResponseQueue responses;
   private final ReadControl readControl;
+  private final WriteProgress writeProgress;
 
   /** The connection's name in the history of its requests. */
   private final String name;
@@ -68,7 +69,9 @@
   private boolean hasSkippedClose;
 
   private long receivedAtActiveNanos;
-  private long unwritableSinceActiveNanos;
+
+  /** Whether {@link #updateStatus} will be called once the kernel has accepted all bytes. */
+  private boolean isFlushAwaited;
 
   ClientHandler(
       Dispatcher dispatcher,
@@ -85,7 +88,9 @@
     this.decoder = decoder;
     this.inboundBuffer = inboundBuffer;
     this.name = connections.nextName();
-    this.responses = new ResponseQueue(this, codec, dispatcher);
+    this.writeProgress =
+        new WriteProgress(clock::activeNanos, connections.sendQueues()::unacknowledgedBytes);
+    this.responses = new ResponseQueue(this, codec, dispatcher, writeProgress);
     this.readControl =
         new ReadControl(responses, inboundBuffer, decoder, fairReadScheduler, dispatcher, name);
   }
@@ -102,6 +107,7 @@
   @Override
   public void handlerAdded(ChannelHandlerContext ctx) {
     channel = ctx.channel();
+    writeProgress.setChannel(channel);
     responses.setChannel(channel);
     readControl.setChannel(channel);
   }
@@ -174,7 +180,6 @@
 
   @Override
   public void channelWritabilityChanged(ChannelHandlerContext ctx) {
-    unwritableSinceActiveNanos = clock.activeNanos();
     responses.writabilityChanged();
     readControl.update();
   }
@@ -210,9 +215,27 @@
       hasSkippedClose = false;
       connections.statusChanged(this, previousStatus, newStatus);
     }
+    if (writeProgress.hasUnsentBytes()) {
+      updateStatusOnceSent();
+    } else {
+      writeProgress.allSent();
+    }
     halfCloseIfAllAnswered();
   }
 
+  private void updateStatusOnceSent() {
+    if (!isFlushAwaited && responses.isEmpty()) {
+      isFlushAwaited = true;
+      channel
+          .writeAndFlush(Unpooled.EMPTY_BUFFER)
+          .addListener(
+              done -> {
+                isFlushAwaited = false;
+                channel.eventLoop().execute(this::updateStatus);
+              });
+    }
+  }
+
   private ClientConnections.Status currentStatus() {
     if (state == State.HALF_CLOSED) {
       return ClientConnections.Status.HALF_CLOSED;
@@ -220,7 +243,7 @@
     if (state == State.CLOSING) {
       return ClientConnections.Status.CLOSING;
     }
-    if (!responses.isEmpty()) {
+    if (!responses.isEmpty() || writeProgress.hasUnsentBytes()) {
       return ClientConnections.Status.AWAITING_RESPONSE;
     }
     if (decoder.isMidCommand()) {
@@ -267,6 +290,9 @@
       hasSkippedClose = status == ClientConnections.Status.MID_COMMAND;
       return false;
     }
+    if (isDescriptorNeeded && writeProgress.hasUntakenBytes()) {
+      return false;
+    }
     if (isDescriptorNeeded) {
       close(reason);
     } else {
@@ -290,7 +316,10 @@
   }
 
   private void halfCloseIfAllAnswered() {
-    if (state == State.STOPPED_READING && responses.isEmpty() && !inboundBuffer.hasBytes()) {
+    if (state == State.STOPPED_READING
+        && responses.isEmpty()
+        && !writeProgress.hasUnsentBytes()
+        && !inboundBuffer.hasBytes()) {
       halfClose(Event.CLOSE_DRAIN);
     }
   }
@@ -327,11 +356,13 @@
     channel.close();
   }
 
-  /** Aborts the connection if it has been unwritable for longer than the limit. */
-  void abortIfWriteStalled() {
-    if (!channel.isWritable()
-        && clock.activeNanos() - unwritableSinceActiveNanos > MAX_WRITE_STALL_NANOS) {
-      abort(Event.CLOSE_SLOW_READER);
-    }
+  /** Whether bytes wait to be taken by the client, as far as known. */
+  boolean hasUntakenBytes() {
+    return writeProgress.hasUntakenBytes();
+  }
+
+  /** Whether the client has taken none of the bytes that wait for it for this time. */
+  boolean isWriteStalled(long maxNanos) {
+    return writeProgress.isStalled(maxNanos);
   }
 }
--- a/engine/src/main/java/shalepaddle/front/ResponseQueue.java
+++ b/engine/src/main/java/shalepaddle/front/ResponseQueue.java
@@ -16,6 +16,7 @@
   private final ClientCodec codec;
   private final Dispatcher dispatcher;
   private final ArrayDeque<ResponseSlot> slots = new ArrayDeque<>();
+  private final WriteProgress writeProgress;
   private Channel channel;
 
   /** Whether commands are being read: their responses are flushed together afterwards. */
@@ -23,7 +24,12 @@
 
   private boolean hasUnflushed;
 
-  ResponseQueue(ClientHandler connection, ClientCodec codec, Dispatcher dispatcher) {
+  ResponseQueue(
+      ClientHandler connection,
+      ClientCodec codec,
+      Dispatcher dispatcher,
+      WriteProgress writeProgress) {
+    this.writeProgress = writeProgress;
     this.connection = connection;
     this.codec = codec;
     this.dispatcher = dispatcher;
@@ -73,11 +79,13 @@
 
   /** Writes bytes and passes their ownership to the channel. */
   void write(ByteBuf bytes) {
+    writeProgress.onWrite(bytes.readableBytes());
     channel.write(bytes, channel.voidPromise());
   }
 
   /** Writes and flushes bytes and passes their ownership to the channel. */
   void writeAndFlush(ByteBuf bytes) {
+    writeProgress.onWrite(bytes.readableBytes());
     channel.writeAndFlush(bytes, channel.voidPromise());
   }
 
--- a/engine/src/main/java/shalepaddle/upstream/ServerPool.java
+++ b/engine/src/main/java/shalepaddle/upstream/ServerPool.java
@@ -38,7 +38,7 @@
       long connectTimeoutNanos) {}
 
   /** Bounds the connections opened on behalf of {@link #replacesConnection}. */
-  private static final long REPLACEMENT_INTERVAL_NANOS = 1_000_000_000L;
+  private static final long REPLACEMENT_INTERVAL_NANOS = 2_000_000_000L;
 
   private final Bootstrap bootstrap;
   private final ServerCodec codec;
