A value that a client writes slowly but steadily has no limit of 30 s in all

Callers saw: a client that sends a value of 1 MiB at 28 KiB/s was disconnected after 30 s, with the value unfinished.

Change: after 30 s a client has to have sent 1 KiB a second in the mean. A pause of 2.1 s still ends the connection, so clients that stop, and those that trickle, are let go.

Evidence: SlowClientIT#valueIsStoredWhenClientWritesSlowlyForLong failed before (broken pipe), passes now.

--- a/daemon/src/test/java/shalepaddle/daemon/SlowClientIT.java
+++ b/daemon/src/test/java/shalepaddle/daemon/SlowClientIT.java
@@ -69,6 +69,7 @@
   private static PausableNode node;
   private static Future<String> slowestReader;
   private static Future<String> readerOfTwoValues;
+  private static Future<String> slowWriter;
   private static final List<Future<String>> READERS_OF_HARDLY_UNSENT = new ArrayList<>();
   private static final List<Future<String>> READERS_BEFORE_ERROR = new ArrayList<>();
   private static final List<Future<Integer>> STOPPED_CLIENTS = new ArrayList<>();
@@ -116,6 +117,7 @@
       String commands = read("d" + valueBytes, valueBytes) + "ms key x Od Pc=put\r\n";
       READERS_BEFORE_ERROR.add(CLIENTS.submit(() -> readValues(250, commands, 1)));
     }
+    slowWriter = CLIENTS.submit(() -> writeValue(28, 1 << 20));
     for (int i = 0; i < STOPPED_READERS; i++) {
       String id = "e" + i;
       STOPPED_CLIENTS.add(CLIENTS.submit(() -> readAndStop(id)));
@@ -232,6 +234,29 @@
     }
   }
 
+  /** Writes a value at a rate and returns the answer. */
+  private static String writeValue(int kibPerSecond, int valueBytes) throws Exception {
+    try (Socket socket = connect()) {
+      socket.setTcpNoDelay(true);
+      socket
+          .getOutputStream()
+          .write(
+              ("ms key " + valueBytes + " Of1 Pc=put,d=2000\r\n")
+                  .getBytes(StandardCharsets.US_ASCII));
+      int stepBytes = kibPerSecond * KIB * STEP_MILLIS / 1000;
+      long startNanos = System.nanoTime();
+      int sent = 0;
+      for (int step = 1; sent < valueBytes; step++) {
+        int count = Math.min(stepBytes, valueBytes - sent);
+        socket.getOutputStream().write(new byte[count]);
+        sent += count;
+        sleepUntil(startNanos + TimeUnit.MILLISECONDS.toNanos((long) step * STEP_MILLIS));
+      }
+      socket.getOutputStream().write("\r\n".getBytes(StandardCharsets.US_ASCII));
+      return readLine(socket.getInputStream()).strip();
+    }
+  }
+
   /** Reads a part of a value, stops for the limit, and returns how much of it comes after that. */
   private static int readAndStop(String id) throws Exception {
     try (Socket socket = connect()) {
@@ -274,6 +299,12 @@
     assertAllWhole(READERS_BEFORE_ERROR);
   }
 
+  /** Guards against a limit on the whole time of a write whose client goes on sending. */
+  @Test
+  void valueIsStoredWhenClientWritesSlowlyForLong() throws Exception {
+    assertEquals("HD Of1 c1", slowWriter.get());
+  }
+
   /** The other side: clients that have stopped hold neither connections nor values. */
   @Test
   void clientsThatStopReadingAreDisconnected() throws Exception {
--- a/engine/src/main/java/shalepaddle/front/ClientConnections.java
+++ b/engine/src/main/java/shalepaddle/front/ClientConnections.java
@@ -43,8 +43,11 @@
   /** Maximum time until a client starts its first command, and for the transfer of a command. */
   private static final long MAX_COMMAND_NANOS = 2_100_000_000L;
 
-  /** Maximum time for a command with a large value, while the client continues to send. */
-  private static final long MAX_VALUE_NANOS = 30_000_000_000L;
+  /** How long a client may take for a command with a large value at any rate. */
+  private static final long MIN_VALUE_NANOS = 30_000_000_000L;
+
+  /** The least mean rate of a client that takes longer than {@link #MIN_VALUE_NANOS}. */
+  private static final double MIN_VALUE_BYTES_PER_SECOND = 1024;
 
   /** How long a connection is kept open between requests. */
   private static final long MAX_IDLE_NANOS = 4_000_000_000L;
@@ -61,6 +64,8 @@
    */
   private static final long MAX_HALF_CLOSED_NANOS = 250_000_000L;
 
+  private static final double NANOS_PER_SECOND = 1e9;
+
   /** Each step of a drain closes one idle connection plus 1/64 of those that are idle then. */
   private static final int DRAIN_STEPS = 64;
 
@@ -280,9 +285,9 @@
     endAll(Status.UNUSED, Event.CLOSE_UNUSED, now - MAX_COMMAND_NANOS);
     for (ClientHandler client :
         enteredBefore(Status.MID_COMMAND, now - MAX_COMMAND_NANOS, Integer.MAX_VALUE)) {
-      boolean isPastMaxValueTime =
-          connectionsByStatus.get(Status.MID_COMMAND).get(client) - (now - MAX_VALUE_NANOS) <= 0;
-      if (isPastMaxValueTime || !client.hasSentValueSince(now - MAX_COMMAND_NANOS)) {
+      long sinceNanos = connectionsByStatus.get(Status.MID_COMMAND).get(client);
+      if (!client.hasSentValueSince(now - MAX_COMMAND_NANOS)
+          || isTooSlow(client, now - sinceNanos)) {
         client.endIfNothingUnread(Event.CLOSE_PARTIAL_COMMAND, false);
       }
     }
@@ -301,6 +306,13 @@
     abortStopped(Status.HALF_CLOSED);
   }
 
+  /** Whether a client has sent too little of a value for the time that it has taken so far. */
+  private static boolean isTooSlow(ClientHandler client, long elapsedNanos) {
+    return elapsedNanos > MIN_VALUE_NANOS
+        && client.receivedBytesInStatus()
+            < MIN_VALUE_BYTES_PER_SECOND * (elapsedNanos / NANOS_PER_SECOND);
+  }
+
   /** Aborts the connections whose clients have stopped to take bytes. */
   private void abortStopped(Status status) {
     for (ClientHandler client : enteredBefore(status, clock.activeNanos(), Integer.MAX_VALUE)) {
--- a/engine/src/main/java/shalepaddle/front/ClientHandler.java
+++ b/engine/src/main/java/shalepaddle/front/ClientHandler.java
@@ -70,6 +70,9 @@
 
   private long receivedAtActiveNanos;
 
+  /** The bytes received before the present status. */
+  private long receivedBytesBefore;
+
   /** Whether {@link #updateStatus} will be called once the kernel has accepted all bytes. */
   private boolean isFlushAwaited;
 
@@ -212,6 +215,7 @@
     if (newStatus != status && channel.isActive()) {
       ClientConnections.Status previousStatus = status;
       status = newStatus;
+      receivedBytesBefore = inboundBuffer.receivedBytes();
       hasSkippedClose = false;
       connections.statusChanged(this, previousStatus, newStatus);
     }
@@ -345,6 +349,11 @@
     return decoder.isReadingValue() && receivedAtActiveNanos - activeNanos > 0;
   }
 
+  /** How many bytes were received in the present status. */
+  long receivedBytesInStatus() {
+    return inboundBuffer.receivedBytes() - receivedBytesBefore;
+  }
+
   /** When bytes were last received, in the event loop's active time. */
   long receivedAtActiveNanos() {
     return receivedAtActiveNanos;
--- a/engine/src/main/java/shalepaddle/front/InboundBuffer.java
+++ b/engine/src/main/java/shalepaddle/front/InboundBuffer.java
@@ -89,6 +89,7 @@
   private long arrivalNanos;
 
   private int readsInTurn;
+  private long receivedBytes;
 
   private boolean hasDeadline;
   private long deadlineNanos;
@@ -119,6 +120,11 @@
     return !segments.isEmpty();
   }
 
+  /** How many bytes were received on the connection. */
+  long receivedBytes() {
+    return receivedBytes;
+  }
+
   /** Whether a limit of the buffer is reached, so that the socket may have unread bytes. */
   boolean isFull() {
     return hasBytes() && (bufferedBytes >= MAX_BUFFERED_BYTES || exceedsBudget);
@@ -163,6 +169,7 @@
   public void channelRead(ChannelHandlerContext ctx, Object message) {
     ByteBuf bytes = (ByteBuf) message;
     readsInTurn++;
+    receivedBytes += bytes.readableBytes();
     long readArrivalNanos = arrivalTracker.bytesRead();
     if (!hasBytes() && mode != Mode.BUFFER) {
       arrivalNanos = readArrivalNanos;
