--- a/daemon/src/test/java/shalepaddle/daemon/FaultSoak.java
+++ b/daemon/src/test/java/shalepaddle/daemon/FaultSoak.java
@@ -53,6 +53,7 @@
   };
 
   private static final double REJECTED_SHARE_WITH_COPIES = 0.25;
+  private static final double MAX_WRONG_ID_SHARE = 0.2;
   private static final int[] MAX_COPY_DELAYS_MILLIS = {12, 60, 400};
   private static final long[] CLOCK_STEPS_SECONDS = {0, 5, -5, 3600, -3600};
 
@@ -369,19 +370,33 @@
     }
   }
 
-  /** Copies replies of all servers, which reject some requests meanwhile. */
+  /**
+   * Copies replies of all servers, which reject some requests meanwhile. Other replies bear the id
+   * of another request.
+   */
   private void copyReplies(int durationMillis) {
     ServerLink.Copies copies = drawCopies();
+    ServerLink.WrongIds wrongIds = drawWrongIds();
     links.forEach(link -> link.setCopies(copies));
+    links.forEach(link -> link.setWrongIds(wrongIds));
     servers.forEach(server -> server.injectFault(Fault.BUSY, REJECTED_SHARE_WITH_COPIES));
     schedule(
         durationMillis,
         () -> {
           links.forEach(link -> link.setCopies(null));
+          links.forEach(link -> link.setWrongIds(null));
           servers.forEach(StandInServer::clearFaults);
         });
   }
 
+  private ServerLink.WrongIds drawWrongIds() {
+    ServerLink.OtherId[] otherIds = ServerLink.OtherId.values();
+    return new ServerLink.WrongIds(
+        MAX_WRONG_ID_SHARE * random.nextDouble(),
+        otherIds[random.nextInt(otherIds.length)],
+        random.nextBoolean());
+  }
+
   private ServerLink.Copies drawCopies() {
     return new ServerLink.Copies(
         COPIED_REPLIES[random.nextInt(COPIED_REPLIES.length)],
@@ -534,6 +549,7 @@
           servers.forEach(server -> server.setUnresponsive(false));
           discovery.setSilent(false);
           links.forEach(link -> link.setCopies(null));
+          links.forEach(link -> link.setWrongIds(null));
           nodes.forEach(node -> node.calls.clearRules());
         });
   }
--- a/engine/src/test/java/shalepaddle/node/RepeatedReplyTest.java
+++ b/engine/src/test/java/shalepaddle/node/RepeatedReplyTest.java
@@ -146,6 +146,20 @@
     assertEquals("SERVER_ERROR busy", secondClient.readLine());
   }
 
+  /** Guards against a large value serving a read that an earlier one may have been given it for. */
+  @Test
+  void largeValueInDoubtIsNotServed() throws Exception {
+    client.write(read("b1"));
+    awaitRequest("b1");
+    secondClient.write(read("c1"));
+    awaitRequest("c1");
+    server.write("SERVER_ERROR busy\r\nVA 100000 Oc1\r\n" + "x".repeat(100_000) + "\r\n");
+    awaitNoOp();
+    server.write("SERVER_ERROR busy\r\nMN\r\n");
+    assertEquals("SERVER_ERROR busy", client.readLine());
+    assertEquals("SERVER_ERROR busy", secondClient.readLine());
+  }
+
   @Test
   void pipelinedRequestsAreResolvedTogetherByTheirOrder() throws Exception {
     client.write(write("b1"));
--- a/testkit/src/main/java/shalepaddle/testkit/ServerLink.java
+++ b/testkit/src/main/java/shalepaddle/testkit/ServerLink.java
@@ -47,6 +47,7 @@
   public record WrongIds(double share, OtherId otherId, boolean endsReplies) {}
 
   private static final Pattern REQUEST_ID = Pattern.compile(" O([0-9A-Za-z]+)");
+  private static final String NO_OP_REPLY = "MN";
   private static final String UNKNOWN_ID = "0123456789abcdef";
 
   private final int latencyMillis;
@@ -131,7 +132,7 @@
         promise.setSuccess();
         return;
       }
-      if (!reply.toString(StandardCharsets.ISO_8859_1).startsWith("MN")) {
+      if (!reply.toString(StandardCharsets.ISO_8859_1).startsWith(NO_OP_REPLY)) {
         reply = withDrawnId(ctx, reply, waitingIds.poll());
       }
       send(ctx, reply, promise);
@@ -165,8 +166,11 @@
       delay(ctx, latencyMillis, () -> ctx.writeAndFlush(reply, promise));
     }
 
+    /** A no-op's reply is copied only if nothing waits behind it, as servers do by the protocol. */
     private boolean isCopied(ByteBuf reply) {
-      return reply.toString(StandardCharsets.ISO_8859_1).startsWith(copies.replyPrefix())
+      String text = reply.toString(StandardCharsets.ISO_8859_1);
+      return text.startsWith(copies.replyPrefix())
+          && !(text.startsWith(NO_OP_REPLY) && !waitingIds.isEmpty())
           && random.nextDouble() < copies.share();
     }
 
