--- a/engine/src/main/java/shalepaddle/diagnostics/Event.java
+++ b/engine/src/main/java/shalepaddle/diagnostics/Event.java
@@ -30,7 +30,7 @@
   RESULT_CACHE_MISS("attempt_results"),
   RESULT_MALFORMED_RESPONSE("attempt_results"),
 
-  /** A server's reply without a request id may be a copy of an earlier one, or is confirmed. */
+  /** A server's reply may be a copy of an earlier one, or the attempt that it may answer ended. */
   REPLY_UNCONFIRMED("server_replies"),
   REPLY_CONFIRMED("server_replies"),
   /** A server's reply is a copy of an earlier one. */
--- a/engine/src/main/java/shalepaddle/engine/AttemptLifecycle.java
+++ b/engine/src/main/java/shalepaddle/engine/AttemptLifecycle.java
@@ -140,7 +140,7 @@
   /**
    * Handles a reply without a request id that may be a copy of an earlier one. It ends the attempt
    * only if the request may be repeated although the attempt may still run, or is not repeated
-   * after this result; otherwise a later reply ends it.
+   * after this result; otherwise {@link #replyConfirmed} ends it.
    *
    * @return whether the attempt has ended
    */
@@ -172,7 +172,7 @@
         : Outcome.Result.MALFORMED_RESPONSE;
   }
 
-  /** Ends an attempt whose unconfirmed reply was confirmed by a later one on its connection. */
+  /** Ends an attempt whose answer is known now, though no reply was received for it alone. */
   void replyConfirmed(Attempt attempt, Outcome.Result result) {
     if (!attempt.isEnded()) {
       recorder.record(Event.REPLY_CONFIRMED, attempt.exchange().id(), result.name());
--- a/engine/src/main/java/shalepaddle/engine/Dispatcher.java
+++ b/engine/src/main/java/shalepaddle/engine/Dispatcher.java
@@ -278,7 +278,7 @@
     recorder.count(Event.REPLY_DUPLICATE, 1);
   }
 
-  /** Ends an attempt whose unconfirmed reply was confirmed by a later one on its connection. */
+  /** Ends an attempt whose answer is known now, though no reply was received for it alone. */
   public void replyConfirmed(Attempt attempt, Outcome.Result result) {
     attempts.replyConfirmed(attempt, result);
   }
--- a/engine/src/main/java/shalepaddle/upstream/ServerConnection.java
+++ b/engine/src/main/java/shalepaddle/upstream/ServerConnection.java
@@ -123,7 +123,7 @@
 
   /** Whether a request may be written, and no reply is awaited. */
   boolean isIdle() {
-    return load() == 0 && !hasUnconfirmedAttempt();
+    return load() == 0 && !hasAwaitedAttemptInDoubt();
   }
 
   /** Whether the first request is in flight, so that the server may still reject the connection. */
@@ -136,8 +136,8 @@
     return inFlightAttempts.isRejectionAmbiguous();
   }
 
-  /** Whether an attempt in doubt waits for a request behind it. */
-  boolean hasUnconfirmedAttempt() {
+  /** Whether the result of an attempt in doubt is still needed. */
+  boolean hasAwaitedAttemptInDoubt() {
     return inFlightAttempts.isAnyInDoubtAwaited();
   }
 
@@ -302,7 +302,7 @@
   /** Replaces the connection, unless an attempt in doubt on it waits for a request behind it. */
   private void duplicateReceived() {
     dispatcher.countDuplicateReply();
-    if (!hasUnconfirmedAttempt()) {
+    if (!hasAwaitedAttemptInDoubt()) {
       drain();
     }
   }
--- a/engine/src/main/java/shalepaddle/upstream/ServerPool.java
+++ b/engine/src/main/java/shalepaddle/upstream/ServerPool.java
@@ -211,9 +211,9 @@
   /**
    * Whether the candidate is preferred: it has fewer attempts in flight, or was used more recently.
    * Attempts that need proof of a rejection avoid connections that cannot give it; others use them
-   * first, since their replies confirm earlier rejections. Connections whose first request is in
-   * flight come last: if the server rejects such a connection, it is not known whether a second
-   * request on it ran.
+   * first, since a no-op in front of them confirms earlier rejections. Connections whose first
+   * request is in flight come last: if the server rejects such a connection, it is not known
+   * whether a second request on it ran.
    */
   private static boolean isPreferred(
       Attempt attempt, ServerConnection candidate, ServerConnection bestConnection) {
@@ -229,8 +229,8 @@
     if (candidate.isRejectionAmbiguous() != bestConnection.isRejectionAmbiguous()) {
       return candidate.isRejectionAmbiguous() != attempt.needsProofOfRejection();
     }
-    if (candidate.hasUnconfirmedAttempt() != bestConnection.hasUnconfirmedAttempt()) {
-      return candidate.hasUnconfirmedAttempt();
+    if (candidate.hasAwaitedAttemptInDoubt() != bestConnection.hasAwaitedAttemptInDoubt()) {
+      return candidate.hasAwaitedAttemptInDoubt();
     }
     return candidate.usedAtNanos() - bestConnection.usedAtNanos() > 0;
   }
