--- a/engine/src/test/java/shalepaddle/node/RepeatedReplyTest.java
+++ b/engine/src/test/java/shalepaddle/node/RepeatedReplyTest.java
@@ -17,9 +17,11 @@
 class RepeatedReplyTest {
   private static final int DEADLINE_MILLIS = 1900;
 
-  /** More than the socket buffers of both ends hold. */
+  /** More than the socket buffers of both ends hold, as the server's is limited. */
   private static final int LARGE_VALUE_BYTES = 4 << 20;
 
+  private static final int RECEIVE_BUFFER_BYTES = 64 << 10;
+
   private NodeFixture rig;
   private ScriptedPeer client;
   private ScriptedPeer secondClient;
@@ -251,6 +253,7 @@
   @Test
   void restOfLargeWriteIsNotSentAfterRejectionOfItsFirstBytes() throws Exception {
     try (NodeFixture otherRig = new NodeFixture(1)) {
+      otherRig.cache.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
       ScriptedPeer otherClient = otherRig.connectClient();
       otherClient.write(
           NodeFixture.writeCommand("a1", DEADLINE_MILLIS, "v".repeat(LARGE_VALUE_BYTES)));
