The node logs closes of clients that were hidden from it, and pauses by a full buffer

CloseDetection tracks the latest time at which a client is known to have had its connection open: bytes arrived after it, or a poll that included the socket did not report it. New: read_pauses{buffer_full}, client_disconnects{found, found_late}, event=client_close_found_late with the connection, the time and what held up reading; a history lists equal events once, with their number. Nothing is decided by it yet.

--- a/engine/src/main/java/shalepaddle/diagnostics/Event.java
+++ b/engine/src/main/java/shalepaddle/diagnostics/Event.java
@@ -42,6 +42,10 @@
   SERVER_CLOSE_REMOTE("server_closes"),
   ANSWERED(null),
   CLIENT_DISCONNECTED(null),
+
+  /** The close of a client that awaits answers is found soon, or may have been hidden for long. */
+  CLIENT_CLOSE_FOUND("client_disconnects"),
+  CLIENT_CLOSE_FOUND_LATE("client_disconnects"),
   LOOP_STALLED(null),
 
   /**
@@ -57,6 +61,8 @@
   READ_PAUSE_ANSWERS_OWED("read_pauses"),
   /** Reading is suspended because the client does not read its responses. */
   READ_PAUSE_ANSWERS_NOT_READ("read_pauses"),
+  /** Reading is suspended because as many bytes are buffered as the node buffers at most. */
+  READ_PAUSE_BUFFER_FULL("read_pauses"),
   READ_RESUMED(null),
 
   /** A request is rejected before any server has run it. */
@@ -100,6 +106,7 @@
     "SERVER_CLOSE_",
     "READ_PAUSE_",
     "REJECTED_",
+    "CLIENT_CLOSE_",
     "CLOSE_",
     "VIOLATION_",
   };
--- a/engine/src/main/java/shalepaddle/diagnostics/FlightRecorder.java
+++ b/engine/src/main/java/shalepaddle/diagnostics/FlightRecorder.java
@@ -1,5 +1,6 @@
 package shalepaddle.diagnostics;
 
+import java.util.Objects;
 import java.util.function.LongSupplier;
 
 /**
@@ -71,28 +72,47 @@
   /**
    * The latest events of a request, of its connection and of the process, each with its time
    * relative to now in milliseconds, such as {@code -103.2:request_read -0.4:answered(rejected)}.
+   * Consecutive equal events are listed once, with the time of the first and their number, such as
+   * {@code -80.1:read_pause_client_error*37}.
    */
   public String history(String requestId, String connection) {
     long now = clock.getAsLong();
     int[] foundSlots = new int[MAX_HISTORY_EVENTS];
+    int[] repeats = new int[MAX_HISTORY_EVENTS];
     int foundCount = 0;
     long oldestIndex = Math.max(0, recordedEvents - CAPACITY);
-    for (long i = recordedEvents - 1; i >= oldestIndex && foundCount < MAX_HISTORY_EVENTS; i--) {
+    for (long i = recordedEvents - 1; i >= oldestIndex; i--) {
       int slot = (int) (i % CAPACITY);
       String subject = subjects[slot];
-      if (subject == null || subject.equals(requestId) || subject.equals(connection)) {
+      if (subject != null && !subject.equals(requestId) && !subject.equals(connection)) {
+        continue;
+      }
+      if (foundCount > 0 && isEqual(slot, foundSlots[foundCount - 1])) {
+        foundSlots[foundCount - 1] = slot;
+        repeats[foundCount - 1]++;
+      } else if (foundCount < MAX_HISTORY_EVENTS) {
+        repeats[foundCount] = 1;
         foundSlots[foundCount++] = slot;
+      } else {
+        break;
       }
     }
     StringBuilder text = new StringBuilder(foundCount * TYPICAL_ENTRY_CHARS);
     while (foundCount > 0) {
-      append(text, foundSlots[--foundCount], now);
+      foundCount--;
+      append(text, foundSlots[foundCount], repeats[foundCount], now);
     }
     return text.toString();
   }
 
+  private boolean isEqual(int slot, int otherSlot) {
+    return events[slot] == events[otherSlot]
+        && Objects.equals(subjects[slot], subjects[otherSlot])
+        && Objects.equals(details[slot], details[otherSlot]);
+  }
+
   /** Appends an entry. Avoids {@link String#format}, which is slow on small machines. */
-  private void append(StringBuilder text, int slot, long now) {
+  private void append(StringBuilder text, int slot, int repeats, long now) {
     long tenthsOfMilli = (now - timesNanos[slot]) / NANOS_PER_TENTH_MILLI;
     text.append(text.isEmpty() ? "-" : " -");
     text.append(tenthsOfMilli / 10).append('.').append(tenthsOfMilli % 10);
@@ -100,6 +120,9 @@
     if (details[slot] != null) {
       text.append('(').append(details[slot]).append(')');
     }
+    if (repeats > 1) {
+      text.append('*').append(repeats);
+    }
   }
 
   /** All non-zero counts as fields of a log line, such as {@code rejections.policy=12}. */
--- a/engine/src/main/java/shalepaddle/front/ClientHandler.java
+++ b/engine/src/main/java/shalepaddle/front/ClientHandler.java
@@ -32,6 +32,9 @@
    */
   private static final long HALF_CLOSE_SUSPEND_MILLIS = 100;
 
+  /** A client's close that was found after a longer time than this is reported as found late. */
+  private static final long MAX_HIDDEN_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
   /** The stages of closing, in order; the last two are alternatives. */
   private enum State {
     OPEN,
@@ -192,9 +195,33 @@
     if (status != null) {
       connections.connectionClosed(this, status);
     }
+    if (!responses.isEmpty()) {
+      reportDisconnect();
+    }
     responses.discardAll();
   }
 
+  /** Records how long the close of a client that awaits answers may have been hidden. */
+  private void reportDisconnect() {
+    long hiddenNanos = clock.now() - inboundBuffer.closeDetection().openAtNanos();
+    if (hiddenNanos <= MAX_HIDDEN_NANOS) {
+      recorder.record(Event.CLIENT_CLOSE_FOUND, name);
+      return;
+    }
+    recorder.record(Event.CLIENT_CLOSE_FOUND_LATE, name);
+    dispatcher.log(
+        () ->
+            "event=client_close_found_late connection="
+                + name
+                + " hidden_ms="
+                + TimeUnit.NANOSECONDS.toMillis(hiddenNanos)
+                + " open_requests="
+                + responses.size()
+                + " history=["
+                + recorder.history(null, name)
+                + "]");
+  }
+
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
     if (!(cause instanceof IOException)) {
--- /dev/null
+++ b/engine/src/main/java/shalepaddle/front/CloseDetection.java
@@ -0,0 +1,118 @@
+package shalepaddle.front;
+
+import java.util.concurrent.TimeUnit;
+import shalepaddle.loop.LoopClock;
+
+/**
+ * Tracks the latest time at which a client is known to have had its connection open.
+ *
+ * <p>The end of the client's stream is found only by reading all bytes before it. A socket that is
+ * not polled, or that is never read until it is empty, therefore tells nothing, however long its
+ * client has been gone. Proof that the client had not closed at a time is that bytes arrived after
+ * that time, or that a poll which included the socket, when nothing was unread, did not report it.
+ *
+ * <p>While the socket is not read, its receive buffer can fill up, so that further bytes and the
+ * close wait at the client's end. After such an interruption the connection proves nothing until no
+ * more than a few bytes have arrived for {@link #SETTLE_NANOS}.
+ *
+ * <p>Owned by its connection, on the event loop; all times are by the loop's clock.
+ */
+final class CloseDetection {
+  /** More than the round trip time after which bytes that wait at the client's end arrive. */
+  static final long SETTLE_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+
+  /** Bytes that can wait at the client's end arrive in larger portions, except for the last. */
+  private static final int MAX_SMALL_READ_BYTES = 4 << 10;
+
+  private final LoopClock clock;
+  private long openAtNanos;
+  private boolean isPolled;
+  private long polledSinceTurn;
+
+  /** The last turn in which a poll reported the socket. */
+  private long reportedTurn;
+
+  private int bytesInTurn;
+
+  /** Whether bytes may wait at the client's end, since reading was interrupted. */
+  private boolean isSettling;
+
+  /** Whether the socket was read until it was empty since the interruption. */
+  private boolean hasBeenEmpty;
+
+  private long emptySinceNanos;
+
+  /**
+   * Creates an instance for a connection that was just accepted.
+   *
+   * @param connectedSinceNanos the earliest time at which the client can have connected
+   */
+  CloseDetection(LoopClock clock, long connectedSinceNanos) {
+    this.clock = clock;
+    this.openAtNanos = connectedSinceNanos;
+    this.reportedTurn = clock.turn();
+  }
+
+  /** Sets whether the event loop polls the socket from now on. */
+  void setPolled(boolean isNowPolled) {
+    if (isNowPolled == isPolled) {
+      return;
+    }
+    if (!isNowPolled) {
+      openAtNanos = openAtNanos();
+      isSettling = true;
+    }
+    isPolled = isNowPolled;
+    polledSinceTurn = clock.turn();
+    hasBeenEmpty = true;
+    emptySinceNanos = clock.now();
+  }
+
+  /** Records bytes that were read, and the earliest time at which they can have arrived. */
+  void bytesRead(int bytes, long arrivalNanos) {
+    reportedTurn = clock.turn();
+    bytesInTurn += bytes;
+    if (!isSettling) {
+      openAtNanos = latest(openAtNanos, arrivalNanos);
+    }
+  }
+
+  /** Records the end of reading in a turn whose poll reported the socket. */
+  void readComplete(boolean isSocketEmpty) {
+    reportedTurn = clock.turn();
+    if (!isSocketEmpty) {
+      hasBeenEmpty = false;
+    } else if (!hasBeenEmpty || bytesInTurn > MAX_SMALL_READ_BYTES) {
+      hasBeenEmpty = true;
+      emptySinceNanos = clock.now();
+    }
+    bytesInTurn = 0;
+  }
+
+  /** The latest time at which the client is known to have had its connection open. */
+  long openAtNanos() {
+    boolean wasInLastPoll = isPolled && clock.handledTurn() > polledSinceTurn;
+    if (wasInLastPoll && clock.handledTurn() > reportedTurn) {
+      endSettling();
+      if (!isSettling) {
+        openAtNanos = latest(openAtNanos, clock.handledPollNanos());
+      }
+    }
+    return openAtNanos;
+  }
+
+  private void endSettling() {
+    if (hasBeenEmpty && clock.handledPollNanos() - emptySinceNanos >= SETTLE_NANOS) {
+      isSettling = false;
+    }
+  }
+
+  /** Whether the next poll tells whether the client has closed, unless more bytes arrive. */
+  boolean isTracked() {
+    return isPolled && !isSettling;
+  }
+
+  private static long latest(long firstNanos, long secondNanos) {
+    return firstNanos - secondNanos > 0 ? firstNanos : secondNanos;
+  }
+}
--- a/engine/src/main/java/shalepaddle/front/InboundBuffer.java
+++ b/engine/src/main/java/shalepaddle/front/InboundBuffer.java
@@ -48,11 +48,13 @@
     SUSPEND
   }
 
-  /** A listener for the deadlines of buffered commands. */
-  @FunctionalInterface
-  interface DeadlineListener {
+  /** A listener for the content of the buffer. */
+  interface Listener {
     /** Called with the earliest deadline among the buffered commands, by the loop's clock. */
     void deadlineFound(long deadlineNanos);
+
+    /** Called when reading stops since a limit of the buffer is reached. */
+    void bufferFilled();
   }
 
   /** Bytes, and the earliest time at which any of them can have arrived. */
@@ -72,9 +74,10 @@
 
   private final MemoryBudget budget;
   private final ArrivalTracker arrivalTracker;
+  private final CloseDetection closeDetection;
   private final ArrayDeque<Segment> segments = new ArrayDeque<>();
   private DeadlineScanner deadlineScanner = new DeadlineScanner();
-  private DeadlineListener listener = deadlineNanos -> {};
+  private Listener listener;
   private ChannelHandlerContext ctx;
   private Mode mode = Mode.DELIVER;
   private int bufferedBytes;
@@ -103,16 +106,17 @@
   InboundBuffer(MemoryBudget budget, LoopClock clock, long connectedSinceNanos) {
     this.budget = budget;
     this.arrivalTracker = new ArrivalTracker(clock, connectedSinceNanos);
+    this.closeDetection = new CloseDetection(clock, connectedSinceNanos);
   }
 
-  void setListener(DeadlineListener listener) {
+  void setListener(Listener listener) {
     this.listener = listener;
   }
 
   @Override
   public void handlerAdded(ChannelHandlerContext ctx) {
     this.ctx = ctx;
-    arrivalTracker.setPolled(true);
+    setPolled(true);
   }
 
   /** Whether any bytes are buffered. */
@@ -120,6 +124,11 @@
     return !segments.isEmpty();
   }
 
+  /** What is known of the client's end of the connection. */
+  CloseDetection closeDetection() {
+    return closeDetection;
+  }
+
   /** How many bytes were received on the connection. */
   long receivedBytes() {
     return receivedBytes;
@@ -153,10 +162,15 @@
   private void updateReading() {
     Channel channel = ctx.channel();
     boolean isReading = mode != Mode.SUSPEND && !isFull();
-    arrivalTracker.setPolled(isReading);
+    setPolled(isReading);
     channel.config().setAutoRead(isReading);
   }
 
+  private void setPolled(boolean isPolled) {
+    arrivalTracker.setPolled(isPolled);
+    closeDetection.setPolled(isPolled);
+  }
+
   /** Suppresses the reads that a decoder requests for an incomplete command while suspended. */
   @Override
   public void read(ChannelHandlerContext ctx) {
@@ -171,12 +185,17 @@
     readsInTurn++;
     receivedBytes += bytes.readableBytes();
     long readArrivalNanos = arrivalTracker.bytesRead();
+    closeDetection.bytesRead(bytes.readableBytes(), readArrivalNanos);
     if (!hasBytes() && mode != Mode.BUFFER) {
       arrivalNanos = readArrivalNanos;
       ctx.fireChannelRead(bytes);
       return;
     }
+    boolean wasFull = isFull();
     buffer(ctx, bytes, readArrivalNanos);
+    if (isFull() && !wasFull) {
+      listener.bufferFilled();
+    }
     updateReading();
   }
 
@@ -225,7 +244,9 @@
   @Override
   public void channelReadComplete(ChannelHandlerContext ctx) {
     boolean isReading = ctx.channel().config().isAutoRead();
-    arrivalTracker.readComplete(isReading && readsInTurn < MAX_READS_PER_TURN);
+    boolean isSocketEmpty = isReading && readsInTurn < MAX_READS_PER_TURN;
+    arrivalTracker.readComplete(isSocketEmpty);
+    closeDetection.readComplete(isSocketEmpty);
     readsInTurn = 0;
     if (!hasBytes()) {
       ctx.fireChannelReadComplete();
--- a/engine/src/main/java/shalepaddle/front/ReadControl.java
+++ b/engine/src/main/java/shalepaddle/front/ReadControl.java
@@ -14,7 +14,7 @@
  * error, an early retry or requests beyond the connection's quota. Owned by the connection, on the
  * event loop.
  */
-final class ReadControl {
+final class ReadControl implements InboundBuffer.Listener {
   /** Number of errors after which the connection is closed: the client breaks the protocol. */
   private static final int MAX_ERRORS = 8;
 
@@ -91,7 +91,7 @@
   /** Sets the channel. Called once, before all other methods. */
   void setChannel(Channel channel) {
     this.channel = channel;
-    inboundBuffer.setListener(this::deadlineFound);
+    inboundBuffer.setListener(this);
   }
 
   /**
@@ -187,8 +187,14 @@
     }
   }
 
+  @Override
+  public void bufferFilled() {
+    dispatcher.recorder().record(Event.READ_PAUSE_BUFFER_FULL, connectionName);
+  }
+
   /** Ends the pause in time for the earliest deadline among the buffered commands. */
-  private void deadlineFound(long deadlineNanos) {
+  @Override
+  public void deadlineFound(long deadlineNanos) {
     long marginNanos = DELIVERY_MARGIN_NANOS + dispatcher.stallAllowanceNanos();
     long latestNanos = deadlineNanos - marginNanos;
     if (inboundBuffer.isFull()
--- a/engine/src/main/java/shalepaddle/loop/LoopClock.java
+++ b/engine/src/main/java/shalepaddle/loop/LoopClock.java
@@ -70,6 +70,9 @@
   private long refreshedAtNanos;
   private long stalledNanos;
   private long turn;
+  private long turnBeganNanos;
+  private long handledTurn;
+  private long handledPollNanos;
 
   /** Number of turns in which the backlog may still be read, 0 if there is no backlog. */
   private int backlogTurnsLeft;
@@ -94,6 +97,8 @@
   private LoopClock(Ticker ticker, long now, Listener listener) {
     this.ticker = ticker;
     this.refreshedAtNanos = now;
+    this.turnBeganNanos = now;
+    this.handledPollNanos = now;
     this.pollTimes = new PollTimes(now);
     this.listener = listener;
   }
@@ -162,6 +167,16 @@
     return turn;
   }
 
+  /** The number of the latest turn all of whose events were handled. */
+  public long handledTurn() {
+    return handledTurn;
+  }
+
+  /** When the poll of {@link #handledTurn} began: all that arrived before it was handled. */
+  public long handledPollNanos() {
+    return handledPollNanos;
+  }
+
   /** Time in nanoseconds during which the loop was able to read, from an arbitrary origin. */
   public long activeNanos() {
     return refreshedAtNanos - stalledNanos;
@@ -206,6 +221,7 @@
     // Events that were handled before this call belong to the previous turn.
     isBusy = false;
     turn++;
+    turnBeganNanos = now;
     hasStalledInTurn = false;
   }
 
@@ -230,6 +246,8 @@
    */
   void turnEnds(long now, int handledChannels) {
     refresh(now);
+    handledTurn = turn;
+    handledPollNanos = turnBeganNanos;
     if (hasBacklog()) {
       boolean hasWaitedLongEnough = now - backlogSinceNanos > MAX_BACKLOG_NANOS;
       boolean isAllRead = handledChannels == 0 && !hasStalledInTurn;
--- a/engine/src/test/java/shalepaddle/diagnostics/FlightRecorderTest.java
+++ b/engine/src/test/java/shalepaddle/diagnostics/FlightRecorderTest.java
@@ -24,6 +24,21 @@
         recorder.history("a", "c1"));
   }
 
+  /** A series of equal events must not displace what happened before it. */
+  @Test
+  void historyListsRepeatedEventOnceWithItsNumber() {
+    recorder.record(Event.REQUEST_READ, "a");
+    for (int i = 0; i < 100; i++) {
+      now = 10_000_000;
+      recorder.record(Event.READ_PAUSE_CLIENT_ERROR, "c1");
+    }
+    recorder.record(Event.ATTEMPT_FIRST, "a");
+    now = 30_000_000;
+    assertEquals(
+        "-30.0:request_read -20.0:read_pause_client_error*100 -20.0:attempt_first",
+        recorder.history("a", "c1"));
+  }
+
   @Test
   void retainsLatestEventsAndCountsAll() {
     for (int i = 0; i < 10_000; i++) {
