No attempt is written unless its client is known to have been connected just before

Callers saw requests run after they had closed their connections: behind a burst that the node had chosen not to read (over 16 KiB buffered), the close was not found, and first attempts and retries went out up to 0.94 s after it.

Cause: with a stream, the end is found only by reading all before it. The node acted on 'no close was read', which is no knowledge while the socket is not polled, is never read empty, or the loop is in a long turn.

Change: the question is asked where every byte to a server leaves, in ServerConnection.write, and answered by proof alone: bytes arrived, or a poll that included the socket did not report it, at most 50 ms ago. If the next poll tells, the attempt is sent again after it; if nothing tells, the request is rejected (failed if it may have run and is not idempotent). A coalesced read's attempt goes with the id of a client that is connected. After an interruption of reading, bytes prove nothing until few have arrived for 50 ms: what the client's system held back comes late, and the close behind it. So it holds for every order of events, and needs no native transport and no table of the kernel.

New: rejections{client_unknown}.

--- a/engine/src/main/java/shalepaddle/diagnostics/Event.java
+++ b/engine/src/main/java/shalepaddle/diagnostics/Event.java
@@ -72,6 +72,8 @@
   REJECTED_POLICY("rejections"),
   REJECTED_EXPIRED("rejections"),
   REJECTED_SHUTDOWN("rejections"),
+  /** A request whose client may have closed its connection behind bytes that are not read. */
+  REJECTED_CLIENT_UNKNOWN("rejections"),
 
   /** This node closes a client's connection. */
   CLOSE_UNUSED("client_closes"),
--- a/engine/src/main/java/shalepaddle/engine/AttemptLifecycle.java
+++ b/engine/src/main/java/shalepaddle/engine/AttemptLifecycle.java
@@ -2,6 +2,7 @@
 
 import java.util.EnumMap;
 import java.util.Map;
+import java.util.concurrent.Executor;
 import shalepaddle.diagnostics.Event;
 import shalepaddle.diagnostics.FlightRecorder;
 import shalepaddle.loop.LoopClock;
@@ -26,6 +27,7 @@
     }
   }
 
+  private final Executor loop;
   private final LoopClock clock;
   private final PolicyEventLoop policy;
   private final FlightRecorder recorder;
@@ -38,7 +40,12 @@
   private WarmStartLog warmStartLog;
 
   AttemptLifecycle(
-      LoopClock clock, PolicyEventLoop policy, FlightRecorder recorder, RequestMetrics metrics) {
+      Executor loop,
+      LoopClock clock,
+      PolicyEventLoop policy,
+      FlightRecorder recorder,
+      RequestMetrics metrics) {
+    this.loop = loop;
     this.clock = clock;
     this.policy = policy;
     this.recorder = recorder;
@@ -99,6 +106,26 @@
     return exchange.hasAttemptsInFlight() ? Event.ATTEMPT_HEDGE : Event.ATTEMPT_RETRY;
   }
 
+  /**
+   * Checks right before an attempt is written that its client has not closed its connection. If
+   * only the next poll tells, the attempt is sent again after that poll. If it cannot be known, the
+   * attempt is not sent, and its request is answered unless another attempt is in flight.
+   *
+   * @return whether the attempt may be written now
+   */
+  boolean confirmClient(Attempt attempt) {
+    switch (attempt.exchange().call().sink().clientPresence(clock.now())) {
+      case CONNECTED -> {
+        return !attempt.isEnded();
+      }
+      case UNCONFIRMED ->
+          // A disconnect is handled by a task that runs before the one added here.
+          clock.runAfterNextPoll(() -> loop.execute(() -> upstream.send(attempt)));
+      case UNKNOWN -> exchanges.clientUnknown(attempt);
+    }
+    return false;
+  }
+
   /** Records that the last byte was handed to the socket: from now on the attempt may run. */
   void onWritten(Attempt attempt) {
     attempt.markWritten();
--- a/engine/src/main/java/shalepaddle/engine/CoalescedReads.java
+++ b/engine/src/main/java/shalepaddle/engine/CoalescedReads.java
@@ -155,6 +155,12 @@
     }
   }
 
+  /** Rejects a read whose client may have closed its connection. */
+  void rejectUnknown(CoalescedRead read) {
+    coalescer.leave(read.waiter());
+    answer(read, new Reply.Rejected(exchanges.retryAfterMillis()));
+  }
+
   private void end(CoalescedRead read) {
     joinedReads.remove(read.id(), read);
     read.end();
--- a/engine/src/main/java/shalepaddle/engine/Dispatcher.java
+++ b/engine/src/main/java/shalepaddle/engine/Dispatcher.java
@@ -83,7 +83,7 @@
     actions = new PolicyActions(timers, drain, recorder, log);
     policy = new PolicyEventLoop(new RequestRouter(settings, seed, actions), clock, log);
     answers = new AnswerDelivery(recorder, metrics, log);
-    attempts = new AttemptLifecycle(loopClock, policy, recorder, metrics);
+    attempts = new AttemptLifecycle(loop, loopClock, policy, recorder, metrics);
     AttemptDeadlines deadlines =
         new AttemptDeadlines(timers, tickNanos, attempts::timeOut, attempts::returnUnwritten);
     exchanges =
@@ -228,6 +228,14 @@
 
   // Methods that server connections call.
 
+  /**
+   * Checks right before an attempt is written that its client has not closed its connection.
+   * Otherwise the attempt must not be written; it is sent again later, or ends.
+   */
+  public boolean confirmClient(Attempt attempt) {
+    return attempts.confirmClient(attempt);
+  }
+
   /** Records that an attempt's last byte was handed to the socket: from now on it may run. */
   public void attemptWritten(Attempt attempt) {
     attempts.onWritten(attempt);
--- a/engine/src/main/java/shalepaddle/engine/Exchange.java
+++ b/engine/src/main/java/shalepaddle/engine/Exchange.java
@@ -157,6 +157,11 @@
     return attemptsInFlight > 0;
   }
 
+  /** Whether an attempt other than the given one has not ended. */
+  boolean hasOtherInFlight(Attempt attempt) {
+    return attempts.stream().anyMatch(other -> other != attempt && !other.isEnded());
+  }
+
   /** Whether the request may be written to a server again, by the settings at its acceptance. */
   boolean hasAttemptLeft() {
     return attempts.size() + rewriteCount < maxAttempts;
--- a/engine/src/main/java/shalepaddle/engine/ExchangeLifecycle.java
+++ b/engine/src/main/java/shalepaddle/engine/ExchangeLifecycle.java
@@ -9,6 +9,7 @@
 import shalepaddle.loop.LoopClock;
 import shalepaddle.model.Outcome;
 import shalepaddle.model.Request;
+import shalepaddle.model.Settings;
 import shalepaddle.overload.OverloadControl;
 
 /**
@@ -148,6 +149,11 @@
         : new Reply.Rejected(overload.retryAfterMillis());
   }
 
+  /** The Retry-After in milliseconds of requests that are rejected now. */
+  long retryAfterMillis() {
+    return overload.retryAfterMillis();
+  }
+
   /** Handles a disconnect of the client, or of the last client of a shared exchange. */
   void clientDisconnected(Exchange exchange) {
     if (exchange.isEnded()) {
@@ -163,6 +169,23 @@
         });
   }
 
+  /**
+   * Withdraws an attempt that must not be written, since its client may have closed its connection.
+   * Answers the request unless another attempt of it is in flight.
+   */
+  void clientUnknown(Attempt attempt) {
+    Exchange exchange = attempt.exchange();
+    if (!exchange.isEnded() && !exchange.hasOtherInFlight(attempt)) {
+      recorder.record(Event.REJECTED_CLIENT_UNKNOWN, exchange.id());
+      boolean mayBeRepeated =
+          exchange.idempotency() == Settings.Idempotency.IDEMPOTENT || !exchange.mayHaveRun();
+      end(
+          exchange,
+          mayBeRepeated ? new Reply.Rejected(overload.retryAfterMillis()) : new Reply.Failed(true));
+    }
+    attempts.returnUnwritten(attempt);
+  }
+
   /** Gives the final answer of an exchange that has not ended. */
   void end(Exchange exchange, Reply reply) {
     if (!exchange.isEnded()) {
--- a/engine/src/main/java/shalepaddle/engine/ReplySink.java
+++ b/engine/src/main/java/shalepaddle/engine/ReplySink.java
@@ -10,6 +10,16 @@
    */
   void reply(Reply reply);
 
+  /**
+   * What is known of the client that waits for the answer. May give up on clients of a shared
+   * answer.
+   *
+   * @param now the present time, by the loop's clock
+   */
+  default ClientPresence clientPresence(long now) {
+    return ClientPresence.CONNECTED;
+  }
+
   /** Whether a large value may be given as {@link Reply.Streamed} before it is complete. */
   default boolean acceptsStream() {
     return false;
--- a/engine/src/main/java/shalepaddle/engine/SharedExchange.java
+++ b/engine/src/main/java/shalepaddle/engine/SharedExchange.java
@@ -112,6 +112,22 @@
     }
   }
 
+  /** The presence of the leader's client; rejects leaders whose clients may have disconnected. */
+  @Override
+  public ClientPresence clientPresence(long now) {
+    ClientPresence presence = leader.call().sink().clientPresence(now);
+    while (presence == ClientPresence.UNKNOWN && !flight.isClosed()) {
+      reads.rejectUnknown(leader);
+      if (flight.isClosed()) {
+        abandon();
+      } else {
+        updateLeader();
+        presence = leader.call().sink().clientPresence(now);
+      }
+    }
+    return presence;
+  }
+
   @Override
   public void reply(Reply reply) {
     cancelExpiryTimer();
--- a/engine/src/main/java/shalepaddle/front/ClientHandler.java
+++ b/engine/src/main/java/shalepaddle/front/ClientHandler.java
@@ -12,6 +12,7 @@
 import shalepaddle.diagnostics.Event;
 import shalepaddle.diagnostics.FlightRecorder;
 import shalepaddle.engine.Call;
+import shalepaddle.engine.ClientPresence;
 import shalepaddle.engine.Dispatcher;
 import shalepaddle.loop.LoopClock;
 
@@ -392,6 +393,13 @@
     channel.close();
   }
 
+  /** What is known of the client, see {@link CloseDetection#presence}. */
+  ClientPresence clientPresence(long now) {
+    return channel.isActive()
+        ? inboundBuffer.closeDetection().presence(now)
+        : ClientPresence.UNKNOWN;
+  }
+
   /** Whether bytes wait to be taken by the client, as far as known. */
   boolean hasUntakenBytes() {
     return writeProgress.hasUntakenBytes();
--- a/engine/src/main/java/shalepaddle/front/CloseDetection.java
+++ b/engine/src/main/java/shalepaddle/front/CloseDetection.java
@@ -1,6 +1,7 @@
 package shalepaddle.front;
 
 import java.util.concurrent.TimeUnit;
+import shalepaddle.engine.ClientPresence;
 import shalepaddle.loop.LoopClock;
 
 /**
@@ -18,6 +19,12 @@
  * <p>Owned by its connection, on the event loop; all times are by the loop's clock.
  */
 final class CloseDetection {
+  /**
+   * How old the knowledge may be that a client is connected. Leaves half of the time that the
+   * protocol allows after a close to the way of the close and of the attempt.
+   */
+  static final long MAX_AGE_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+
   /** More than the round trip time after which bytes that wait at the client's end arrive. */
   static final long SETTLE_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
 
@@ -37,10 +44,8 @@
   /** Whether bytes may wait at the client's end, since reading was interrupted. */
   private boolean isSettling;
 
-  /** Whether the socket was read until it was empty since the interruption. */
-  private boolean hasBeenEmpty;
-
-  private long emptySinceNanos;
+  /** When more bytes than a few were last read or left unread, or reading resumed. */
+  private long settlingSinceNanos;
 
   /**
    * Creates an instance for a connection that was just accepted.
@@ -64,8 +69,7 @@
     }
     isPolled = isNowPolled;
     polledSinceTurn = clock.turn();
-    hasBeenEmpty = true;
-    emptySinceNanos = clock.now();
+    settlingSinceNanos = clock.now();
   }
 
   /** Records bytes that were read, and the earliest time at which they can have arrived. */
@@ -80,11 +84,8 @@
   /** Records the end of reading in a turn whose poll reported the socket. */
   void readComplete(boolean isSocketEmpty) {
     reportedTurn = clock.turn();
-    if (!isSocketEmpty) {
-      hasBeenEmpty = false;
-    } else if (!hasBeenEmpty || bytesInTurn > MAX_SMALL_READ_BYTES) {
-      hasBeenEmpty = true;
-      emptySinceNanos = clock.now();
+    if (!isSocketEmpty || bytesInTurn > MAX_SMALL_READ_BYTES) {
+      settlingSinceNanos = clock.now();
     }
     bytesInTurn = 0;
   }
@@ -93,7 +94,7 @@
   long openAtNanos() {
     boolean wasInLastPoll = isPolled && clock.handledTurn() > polledSinceTurn;
     if (wasInLastPoll && clock.handledTurn() > reportedTurn) {
-      endSettling();
+      isSettling &= clock.handledPollNanos() - settlingSinceNanos < SETTLE_NANOS;
       if (!isSettling) {
         openAtNanos = latest(openAtNanos, clock.handledPollNanos());
       }
@@ -101,15 +102,12 @@
     return openAtNanos;
   }
 
-  private void endSettling() {
-    if (hasBeenEmpty && clock.handledPollNanos() - emptySinceNanos >= SETTLE_NANOS) {
-      isSettling = false;
+  /** What is known of the client at the given time. */
+  ClientPresence presence(long now) {
+    if (now - openAtNanos() <= MAX_AGE_NANOS) {
+      return ClientPresence.CONNECTED;
     }
-  }
-
-  /** Whether the next poll tells whether the client has closed, unless more bytes arrive. */
-  boolean isTracked() {
-    return isPolled && !isSettling;
+    return isPolled && !isSettling ? ClientPresence.UNCONFIRMED : ClientPresence.UNKNOWN;
   }
 
   private static long latest(long firstNanos, long secondNanos) {
--- a/engine/src/main/java/shalepaddle/front/ResponseQueue.java
+++ b/engine/src/main/java/shalepaddle/front/ResponseQueue.java
@@ -4,6 +4,7 @@
 import io.netty.channel.Channel;
 import java.util.ArrayDeque;
 import shalepaddle.diagnostics.Event;
+import shalepaddle.engine.ClientPresence;
 import shalepaddle.engine.Dispatcher;
 import shalepaddle.engine.Reply;
 
@@ -64,6 +65,10 @@
     return !connection.isClosing() && channel.isActive();
   }
 
+  ClientPresence clientPresence(long now) {
+    return connection.clientPresence(now);
+  }
+
   boolean isWritable() {
     return channel.isWritable();
   }
--- a/engine/src/main/java/shalepaddle/front/ResponseSlot.java
+++ b/engine/src/main/java/shalepaddle/front/ResponseSlot.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import java.util.concurrent.TimeUnit;
+import shalepaddle.engine.ClientPresence;
 import shalepaddle.engine.Reply;
 import shalepaddle.engine.ReplySink;
 import shalepaddle.engine.Submission;
@@ -115,6 +116,11 @@
     return true;
   }
 
+  @Override
+  public ClientPresence clientPresence(long now) {
+    return responses.clientPresence(now);
+  }
+
   @Override
   public void reply(Reply reply) {
     if (reply instanceof Reply.Streamed streamedReply) {
--- a/engine/src/main/java/shalepaddle/upstream/ServerConnection.java
+++ b/engine/src/main/java/shalepaddle/upstream/ServerConnection.java
@@ -149,6 +149,9 @@
       dispatcher.returnUnwritten(attempt);
       return;
     }
+    if (!dispatcher.confirmClient(attempt)) {
+      return;
+    }
     attempt.assignTo(this);
     inFlightAttempts.add(attempt, now);
     long timeoutMillis = (attempt.deadlineNanos() - now + NANOS_PER_MILLI - 1) / NANOS_PER_MILLI;
--- a/engine/src/test/java/shalepaddle/node/CoalescedReadsTest.java
+++ b/engine/src/test/java/shalepaddle/node/CoalescedReadsTest.java
@@ -1,6 +1,7 @@
 package shalepaddle.node;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
@@ -11,6 +12,7 @@
 import io.netty.buffer.UnpooledByteBufAllocator;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -24,8 +26,10 @@
 import shalepaddle.codec.meta.MetaReplies;
 import shalepaddle.engine.Attempt;
 import shalepaddle.engine.Call;
+import shalepaddle.engine.ClientPresence;
 import shalepaddle.engine.Dispatcher;
 import shalepaddle.engine.Reply;
+import shalepaddle.engine.ReplySink;
 import shalepaddle.engine.ServerReply;
 import shalepaddle.engine.Submission;
 import shalepaddle.engine.Upstream;
@@ -48,6 +52,9 @@
   /** Virtual time of each reply by request id, in milliseconds. */
   private final Map<String, Long> answeredAtMillis = new LinkedHashMap<>();
 
+  /** What is known of the clients of requests; those that are not listed are connected. */
+  private final Map<String, ClientPresence> presences = new HashMap<>();
+
   private final Map<String, Submission> submissions = new LinkedHashMap<>();
   private int submittedCount;
 
@@ -154,10 +161,18 @@
             new Call(
                 request,
                 engine.createPayload(),
-                reply -> {
-                  assertNull(replies.put(id, reply), id + " was answered twice");
-                  answeredAtMillis.put(id, engine.elapsedMillis());
-                  onReply.run();
+                new ReplySink() {
+                  @Override
+                  public void reply(Reply reply) {
+                    assertNull(replies.put(id, reply), id + " was answered twice");
+                    answeredAtMillis.put(id, engine.elapsedMillis());
+                    onReply.run();
+                  }
+
+                  @Override
+                  public ClientPresence clientPresence(long now) {
+                    return presences.getOrDefault(id, ClientPresence.CONNECTED);
+                  }
                 }));
     submissions.put(id, submission);
     return submission;
@@ -254,6 +269,61 @@
     assertEquals(expectedOrder, new ArrayList<>(replies.keySet()));
   }
 
+  /** Guards against an attempt with the id of a client that has closed its connection unseen. */
+  @Test
+  void attemptCarriesIdOfConnectedClientWhenLeadersMayHaveDisconnected() {
+    hasNoConnection = true;
+    read("r0", 1000);
+    read("r1", 1000);
+    read("r2", 1000);
+    presences.put("r0", ClientPresence.UNKNOWN);
+    presences.put("r1", ClientPresence.UNKNOWN);
+    Attempt attempt = sentAttempts.get(0);
+    assertTrue(dispatcher.confirmClient(attempt));
+    assertEquals("r2", idOf(attempt));
+    assertInstanceOf(Reply.Rejected.class, replies.get("r0"));
+    assertInstanceOf(Reply.Rejected.class, replies.get("r1"));
+    serve(attempt, "v");
+    assertEquals("v", servedText("r2"));
+  }
+
+  @Test
+  void attemptIsNotWrittenWhenNoCoalescedClientIsKnownToBeConnected() {
+    hasNoConnection = true;
+    read("r0", 1000);
+    read("r1", 1000);
+    presences.put("r0", ClientPresence.UNKNOWN);
+    presences.put("r1", ClientPresence.UNKNOWN);
+    assertFalse(dispatcher.confirmClient(sentAttempts.get(0)));
+    assertTrue(sentAttempts.get(0).isEnded());
+    assertInstanceOf(Reply.Rejected.class, replies.get("r0"));
+    assertInstanceOf(Reply.Rejected.class, replies.get("r1"));
+  }
+
+  @Test
+  void requestIsRejectedWhenItsClientMayHaveDisconnected() {
+    hasNoConnection = true;
+    submit("w", "write", 1000, () -> {});
+    presences.put("w", ClientPresence.UNKNOWN);
+    assertFalse(dispatcher.confirmClient(sentAttempts.get(0)));
+    assertTrue(sentAttempts.get(0).isEnded());
+    assertInstanceOf(Reply.Rejected.class, replies.get("w"));
+  }
+
+  @Test
+  void attemptIsSentAgainAfterNextPollWhenThatTellsOfItsClient() {
+    hasNoConnection = true;
+    submit("w", "write", 1000, () -> {});
+    Attempt attempt = sentAttempts.get(0);
+    presences.put("w", ClientPresence.UNCONFIRMED);
+    assertFalse(dispatcher.confirmClient(attempt));
+    assertEquals(1, sentAttempts.size());
+    presences.put("w", ClientPresence.CONNECTED);
+    engine.advanceMillis(2);
+    assertEquals(List.of(attempt, attempt), sentAttempts);
+    assertTrue(dispatcher.confirmClient(attempt));
+  }
+
   @Test
   void failsEachReadAtItsOwnDeadline() {
     for (int i = 0; i < 100; i++) {
--- a/testkit/src/main/java/shalepaddle/testkit/StandInServer.java
+++ b/testkit/src/main/java/shalepaddle/testkit/StandInServer.java
@@ -52,6 +52,7 @@
   private SocketAddress address;
   private Channel serverChannel;
   private boolean unresponsive;
+  private boolean rejectsLate;
   private int readLimitBytes;
   private int truncateAfterBytes = -1;
   private boolean draining;
@@ -144,6 +145,11 @@
     faultShares.put(fault, share);
   }
 
+  /** While enabled, rejects each request only after the time that processing it would take. */
+  public void setRejectsLate(boolean enabled) {
+    rejectsLate = enabled;
+  }
+
   /** Ends the injection of all response faults. */
   public void clearFaults() {
     faultShares.clear();
@@ -284,7 +290,7 @@
           || warmUp.collapsed()
           || queuedJobs.size() >= model.maxQueued()) {
         rejectedRequests++;
-        job.respond("SERVER_ERROR busy\r\n");
+        reject(job, workSeconds);
         return;
       }
       job.workSeconds = workSeconds;
@@ -292,6 +298,17 @@
       startQueuedJobs();
     }
 
+    private void reject(Job job, double workSeconds) {
+      if (rejectsLate) {
+        long delayNanos = (long) (workSeconds * 1e9);
+        transport
+            .loop()
+            .schedule(() -> job.respond("SERVER_ERROR busy\r\n"), delayNanos, TimeUnit.NANOSECONDS);
+      } else {
+        job.respond("SERVER_ERROR busy\r\n");
+      }
+    }
+
     /** Makes the connection read at once, with a limit, or not at all, as currently set. */
     private void updateReadMode() {
       boolean autoRead = !unresponsive && readLimitBytes == 0;
