Buffered bytes are scanned for deadlines once, and return their memory as they are taken

Cause: each error scanned all buffered bytes anew for the earliest deadline, 16 KiB for each line of a few bytes. Memory was returned to the budget of all connections only once a buffer was empty, so that one that never is used all of it.

Change: InboundSegments owns the buffered bytes and has the earliest deadline of each segment, found when its bytes are added; the earliest of all is asked of some tens of segments at most. What is taken is returned at once. InboundBuffer keeps what is read and when.

--- a/engine/src/main/java/shalepaddle/front/InboundBuffer.java
+++ b/engine/src/main/java/shalepaddle/front/InboundBuffer.java
@@ -1,13 +1,9 @@
 package shalepaddle.front;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.handler.codec.ByteToMessageDecoder;
-import java.util.ArrayDeque;
-import java.util.concurrent.TimeUnit;
 import shalepaddle.engine.MemoryBudget;
 import shalepaddle.loop.LoopClock;
 
@@ -35,9 +31,6 @@
   /** Netty's maximum number of reads per event; after these reads, bytes may still be unread. */
   private static final int MAX_READS_PER_TURN = 16;
 
-  /** Bytes that arrived less than this after the first byte of a segment are appended to it. */
-  private static final long MERGE_WINDOW_NANOS = 5_000_000;
-
   /** Whether bytes are read from the socket, and whether they are delivered. */
   enum Mode {
     /** Bytes are read and delivered. */
@@ -57,35 +50,12 @@
     void bufferFilled();
   }
 
-  /** Bytes, and the earliest time at which any of them can have arrived. */
-  private static final class Segment {
-    private ByteBuf bytes;
-    private final long arrivalNanos;
-
-    Segment(ByteBuf bytes, long arrivalNanos) {
-      this.bytes = bytes;
-      this.arrivalNanos = arrivalNanos;
-    }
-
-    void append(ByteBufAllocator allocator, ByteBuf addedBytes) {
-      bytes = ByteToMessageDecoder.MERGE_CUMULATOR.cumulate(allocator, bytes, addedBytes);
-    }
-  }
-
-  private final MemoryBudget budget;
   private final ArrivalTracker arrivalTracker;
   private final CloseDetection closeDetection;
-  private final ArrayDeque<Segment> segments = new ArrayDeque<>();
-  private DeadlineScanner deadlineScanner = new DeadlineScanner();
+  private final InboundSegments segments;
   private Listener listener;
   private ChannelHandlerContext ctx;
   private Mode mode = Mode.DELIVER;
-  private int bufferedBytes;
-  private int reservedBytes;
-
-  /** Whether the memory budget does not cover all buffered bytes. */
-  private boolean exceedsBudget;
-
   private boolean isDelivering;
 
   /** See {@link #arrivalNanos()}. */
@@ -94,9 +64,6 @@
   private int readsInTurn;
   private long receivedBytes;
 
-  private boolean hasDeadline;
-  private long deadlineNanos;
-
   /**
    * Creates an empty buffer.
    *
@@ -104,7 +71,7 @@
    * @param connectedSinceNanos the earliest time at which the client can have sent bytes
    */
   InboundBuffer(MemoryBudget budget, LoopClock clock, long connectedSinceNanos) {
-    this.budget = budget;
+    this.segments = new InboundSegments(budget);
     this.arrivalTracker = new ArrivalTracker(clock, connectedSinceNanos);
     this.closeDetection = new CloseDetection(clock, connectedSinceNanos);
   }
@@ -136,7 +103,7 @@
 
   /** Whether a limit of the buffer is reached, so that the socket may have unread bytes. */
   boolean isFull() {
-    return hasBytes() && (bufferedBytes >= MAX_BUFFERED_BYTES || exceedsBudget);
+    return segments.bufferedBytes() >= MAX_BUFFERED_BYTES || segments.exceedsBudget();
   }
 
   /** The earliest time at which the bytes that are being delivered can have arrived. */
@@ -192,53 +159,17 @@
       return;
     }
     boolean wasFull = isFull();
-    buffer(ctx, bytes, readArrivalNanos);
+    segments.add(ctx.alloc(), bytes, readArrivalNanos);
+    reportDeadline();
     if (isFull() && !wasFull) {
       listener.bufferFilled();
     }
     updateReading();
   }
 
-  private void buffer(ChannelHandlerContext ctx, ByteBuf bytes, long bytesArrivalNanos) {
-    int newBytes = bytes.readableBytes();
-    if (budget.reserve(newBytes)) {
-      reservedBytes += newBytes;
-    } else {
-      exceedsBudget = true;
-    }
-    bufferedBytes += newBytes;
-    scan(bytes, bytesArrivalNanos);
-    Segment lastSegment = segments.peekLast();
-    if (lastSegment != null && bytesArrivalNanos - lastSegment.arrivalNanos < MERGE_WINDOW_NANOS) {
-      lastSegment.append(ctx.alloc(), bytes);
-    } else {
-      segments.add(new Segment(bytes, bytesArrivalNanos));
-    }
-    if (hasDeadline) {
-      listener.deadlineFound(deadlineNanos);
-    }
-  }
-
-  private void scan(ByteBuf bytes, long bytesArrivalNanos) {
-    deadlineScanner.scan(
-        bytes, millis -> addDeadline(bytesArrivalNanos + TimeUnit.MILLISECONDS.toNanos(millis)));
-  }
-
   /** Notifies the listener of the earliest deadline in the buffered bytes, if there is one. */
   void reportDeadline() {
-    hasDeadline = false;
-    deadlineScanner = new DeadlineScanner();
-    segments.forEach(segment -> scan(segment.bytes, segment.arrivalNanos));
-    if (hasDeadline) {
-      listener.deadlineFound(deadlineNanos);
-    }
-  }
-
-  private void addDeadline(long newDeadlineNanos) {
-    if (!hasDeadline || newDeadlineNanos - deadlineNanos < 0) {
-      hasDeadline = true;
-      deadlineNanos = newDeadlineNanos;
-    }
+    segments.earliestDeadlineNanos().ifPresent(listener::deadlineFound);
   }
 
   @Override
@@ -261,9 +192,8 @@
     isDelivering = true;
     try {
       while (hasBytes() && mode != Mode.BUFFER) {
-        Segment firstSegment = segments.peek();
-        arrivalNanos = firstSegment.arrivalNanos;
-        ctx.fireChannelRead(takeDelivery(firstSegment));
+        arrivalNanos = segments.firstArrivalNanos();
+        ctx.fireChannelRead(segments.take(MAX_DELIVERY_BYTES));
       }
     } finally {
       isDelivering = false;
@@ -274,46 +204,14 @@
     }
   }
 
-  /** Removes and returns the next bytes to deliver, which the next handler owns. */
-  private ByteBuf takeDelivery(Segment firstSegment) {
-    if (firstSegment.bytes.readableBytes() > MAX_DELIVERY_BYTES) {
-      bufferedBytes -= MAX_DELIVERY_BYTES;
-      return firstSegment.bytes.readRetainedSlice(MAX_DELIVERY_BYTES);
-    }
-    bufferedBytes -= firstSegment.bytes.readableBytes();
-    segments.poll();
-    if (segments.isEmpty()) {
-      reset();
-    }
-    return firstSegment.bytes;
-  }
-
-  /** Resets the accounting after the last segment was removed. */
-  private void reset() {
-    exceedsBudget = false;
-    budget.release(reservedBytes);
-    reservedBytes = 0;
-    bufferedBytes = 0;
-    hasDeadline = false;
-    deadlineScanner = new DeadlineScanner();
-  }
-
-  private void releaseAll() {
-    if (hasBytes()) {
-      segments.forEach(segment -> segment.bytes.release());
-      segments.clear();
-      reset();
-    }
-  }
-
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
-    releaseAll();
+    segments.clear();
     ctx.fireChannelInactive();
   }
 
   @Override
   public void handlerRemoved(ChannelHandlerContext ctx) {
-    releaseAll();
+    segments.clear();
   }
 }
