Up to 256 KiB of a connection are read ahead, so that requests behind others are answered in time

Cause: while commands are not handled, reading stopped at 16 KiB of a connection. What waits in the socket has no known deadline, is answered only when it is read, and hides the close.

Change: 256 KiB are buffered for a connection, and a 32nd of the memory limit for all (a 64th before). At most 16 KiB are delivered in a turn, as much as a full buffer held before, so that a long buffer does not hold up other connections.

--- a/daemon/src/test/java/shalepaddle/daemon/ClosedConnectionIT.java
+++ b/daemon/src/test/java/shalepaddle/daemon/ClosedConnectionIT.java
@@ -221,7 +221,7 @@
 
   /** The other side: a client that stays connected gets an answer to each request, in time. */
   @ParameterizedTest
-  @CsvSource({"READS, 20", "READS, 300", "WRITES, 300"})
+  @CsvSource({"READS, 20", "READS, 300", "READS, 1000", "WRITES, 300"})
   void clientsThatStayAreAnswered(Kind kind, int requests) throws Exception {
     startNode();
     int served = 0;
--- a/engine/src/main/java/shalepaddle/front/InboundBuffer.java
+++ b/engine/src/main/java/shalepaddle/front/InboundBuffer.java
@@ -4,6 +4,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
+import java.util.concurrent.TimeUnit;
 import shalepaddle.engine.MemoryBudget;
 import shalepaddle.loop.LoopClock;
 
@@ -23,11 +24,14 @@
  */
 final class InboundBuffer extends ChannelDuplexHandler {
   /** Reading stops while at least this many bytes are buffered. */
-  static final int MAX_BUFFERED_BYTES = 16 << 10;
+  static final int MAX_BUFFERED_BYTES = 256 << 10;
 
   /** Maximum bytes delivered before the mode is checked again: some tens of commands. */
   private static final int MAX_DELIVERY_BYTES = 4 << 10;
 
+  /** Maximum bytes delivered before other connections are polled again. */
+  private static final int MAX_DELIVERY_BYTES_PER_TURN = 16 << 10;
+
   /** Netty's maximum number of reads per event; after these reads, bytes may still be unread. */
   private static final int MAX_READS_PER_TURN = 16;
 
@@ -58,6 +62,9 @@
   private Mode mode = Mode.DELIVER;
   private boolean isDelivering;
 
+  /** Whether the delivery continues in the next turn. */
+  private boolean isDeliveryScheduled;
+
   /** See {@link #arrivalNanos()}. */
   private long arrivalNanos;
 
@@ -191,9 +198,12 @@
     }
     isDelivering = true;
     try {
-      while (hasBytes() && mode != Mode.BUFFER) {
+      int deliveredBytes = 0;
+      while (hasBytes() && mode != Mode.BUFFER && deliveredBytes < MAX_DELIVERY_BYTES_PER_TURN) {
         arrivalNanos = segments.firstArrivalNanos();
-        ctx.fireChannelRead(segments.take(MAX_DELIVERY_BYTES));
+        ByteBuf bytes = segments.take(MAX_DELIVERY_BYTES);
+        deliveredBytes += bytes.readableBytes();
+        ctx.fireChannelRead(bytes);
       }
     } finally {
       isDelivering = false;
@@ -202,6 +212,18 @@
     if (ctx.channel().isActive()) {
       updateReading();
     }
+    if (hasBytes() && mode != Mode.BUFFER && !isDeliveryScheduled) {
+      isDeliveryScheduled = true;
+      // A task that is passed to execute would run before the next poll.
+      ctx.executor().schedule(this::continueDelivery, 1, TimeUnit.NANOSECONDS);
+    }
+  }
+
+  private void continueDelivery() {
+    isDeliveryScheduled = false;
+    if (mode != Mode.BUFFER) {
+      deliverBuffered();
+    }
   }
 
   @Override
--- a/engine/src/main/java/shalepaddle/node/LoadBalancer.java
+++ b/engine/src/main/java/shalepaddle/node/LoadBalancer.java
@@ -44,7 +44,7 @@
   private static final long REMOVED_CLASS_GRACE_NANOS = 1_200_000_000L;
 
   /** The memory limit divided by this is the budget of the clients' inbound buffers. */
-  private static final int INBOUND_BUFFER_DIVISOR = 64;
+  private static final int INBOUND_BUFFER_DIVISOR = 32;
 
   /** The maximum number of calls from other threads that wait for the event loop. */
   private static final int MAX_SUBMITTED_CALLS = 4096;
