A variant of InjectedRaceViolationTest injects its fault behind the node's check of clients

Cause: the variant made the node send for clients that had left by delaying channelInactive.

For the simulator's check, a request that waited for its connection is now delayed on the way to its server. No check is dropped: each variant expects the same violation, and one claim about the node is new.

--- a/simulation/src/test/java/shalepaddle/simulation/InjectedRaceViolationTest.java
+++ b/simulation/src/test/java/shalepaddle/simulation/InjectedRaceViolationTest.java
@@ -72,25 +72,35 @@
                 });
       }
     },
-    /** The close of a client's connection is noticed 500 ms late. */
-    NOTICES_DISCONNECT_LATE("after it had ended (gone)") {
+    /**
+     * A request that waited for its connection is sent 400 ms late, even if its client has
+     * disconnected meanwhile.
+     */
+    SENDS_LATE_AFTER_CONNECT("after it had ended (gone)") {
       @Override
       Consumer<Channel> onOpened() {
-        // Delays connects by 120 ms, so that requests still wait for their connection when their
-        // client disconnects.
-        return addHandlerFirst(() -> new DelayedConnect(120));
-      }
+        return addHandlerFirst(() -> new DelayedConnect(120))
+            .andThen(
+                addHandlerFirst(
+                    () ->
+                        new TamperingHandler() {
+                          private boolean hasSent;
 
-      @Override
-      Consumer<Channel> onAccepted() {
-        return addHandlerFirst(
-            () ->
-                new TamperingHandler() {
-                  @Override
-                  public void channelInactive(ChannelHandlerContext ctx) {
-                    ctx.executor().schedule(ctx::fireChannelInactive, 500, TimeUnit.MILLISECONDS);
-                  }
-                });
+                          @Override
+                          public void write(
+                              ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
+                            if (hasSent || !startsWith(message, "m")) {
+                              ctx.write(message, promise);
+                              return;
+                            }
+                            hasSent = true;
+                            ctx.executor()
+                                .schedule(
+                                    () -> ctx.writeAndFlush(message, promise),
+                                    400,
+                                    TimeUnit.MILLISECONDS);
+                          }
+                        }));
       }
     },
     /** Injected heartbeats make a load balancer take a silent watch for one without changes. */
@@ -230,6 +240,33 @@
     assertTrue(report.servedRequests() > report.requests() / 3, report::toString);
   }
 
+  /**
+   * Requests wait for their connections when their clients disconnect, and the load balancers'
+   * handlers learn of it 500 ms late: nothing may be sent all the same.
+   */
+  @Test
+  void nothingIsSentAfterDisconnectThatHandlersNoticeLate() {
+    ScenarioReport report =
+        ScenarioSimulation.play(
+            PLAN,
+            new ScenarioSimulation.Tampering(
+                addHandlerFirst(() -> new DelayedConnect(120)),
+                addHandlerFirst(
+                    () ->
+                        new TamperingHandler() {
+                          @Override
+                          public void channelInactive(ChannelHandlerContext ctx) {
+                            ctx.executor()
+                                .schedule(ctx::fireChannelInactive, 500, TimeUnit.MILLISECONDS);
+                          }
+                        })));
+    assertEquals(
+        List.of(),
+        report.violations().stream()
+            .filter(violation -> violation.contains("after it had ended"))
+            .toList());
+  }
+
   @ParameterizedTest
   @EnumSource(Variant.class)
   void playReportsViolationWhenConnectionsAreTamperedWith(Variant variant) {
