Bytes behind many unread ones are no proof that their client is connected

Callers that closed right after large writes or 1 MB of reads, or while the process was stopped, still had attempts begin after the close: 181 of 345 (writes of 60 KiB, up to 0.28 s), 2 of 278 (4,000 reads), 50 of 413 (40 clients at once, more than the memory for reading ahead), 6 of 35 (a stop of 0.5 s, 0.51 s).

Cause: bytes that arrive were taken for proof that their client had not closed before. Once the receive window is used up, the rest and the close wait at the client's end, and arrive as the node reads, long after the close.

What was tried: counting only a read of over 32 KiB as a used-up window left 198 of 352, 10 of 241 and 97 of 342 late; with over 4 KiB none: a window opens and fills in steps smaller than itself.

Change: after a read of more than 4 KiB in a turn, or one that leaves the socket unread, or an interruption, nothing proves that the client is connected until no more than that has come at a time for 20 ms. Attempts wait for that time, checked every 2 ms; they are rejected only if the socket is not read. What was known before the large read holds for 50 ms.

--- a/engine/src/main/java/shalepaddle/engine/AttemptLifecycle.java
+++ b/engine/src/main/java/shalepaddle/engine/AttemptLifecycle.java
@@ -2,10 +2,11 @@
 
 import java.util.EnumMap;
 import java.util.Map;
-import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
 import shalepaddle.diagnostics.Event;
 import shalepaddle.diagnostics.FlightRecorder;
 import shalepaddle.loop.LoopClock;
+import shalepaddle.loop.Timers;
 import shalepaddle.model.LoadReport;
 import shalepaddle.model.Observation;
 import shalepaddle.model.Outcome;
@@ -18,6 +19,9 @@
  * <p>Owned by the event loop's thread.
  */
 final class AttemptLifecycle {
+  /** The time until a client that was not known to be connected is checked again. */
+  private static final long CLIENT_CHECK_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(2);
+
   private static final Map<Outcome.Result, Event> RESULT_EVENTS =
       new EnumMap<>(Outcome.Result.class);
 
@@ -27,8 +31,8 @@
     }
   }
 
-  private final Executor loop;
   private final LoopClock clock;
+  private final Timers timers;
   private final PolicyEventLoop policy;
   private final FlightRecorder recorder;
   private final RequestMetrics metrics;
@@ -40,13 +44,13 @@
   private WarmStartLog warmStartLog;
 
   AttemptLifecycle(
-      Executor loop,
       LoopClock clock,
+      Timers timers,
       PolicyEventLoop policy,
       FlightRecorder recorder,
       RequestMetrics metrics) {
-    this.loop = loop;
     this.clock = clock;
+    this.timers = timers;
     this.policy = policy;
     this.recorder = recorder;
     this.metrics = metrics;
@@ -108,8 +112,8 @@
 
   /**
    * Checks right before an attempt is written that its client has not closed its connection. If
-   * only the next poll tells, the attempt is sent again after that poll. If it cannot be known, the
-   * attempt is not sent, and its request is answered unless another attempt is in flight.
+   * that is known only later, the attempt is sent again then. If it cannot be known, the attempt is
+   * not sent, and its request is answered unless another attempt is in flight.
    *
    * @return whether the attempt may be written now
    */
@@ -119,8 +123,7 @@
         return !attempt.isEnded();
       }
       case UNCONFIRMED ->
-          // A disconnect is handled by a task that runs before the one added here.
-          clock.runAfterNextPoll(() -> loop.execute(() -> upstream.send(attempt)));
+          timers.runNoEarlierThan(CLIENT_CHECK_INTERVAL_NANOS, () -> upstream.send(attempt));
       case UNKNOWN -> exchanges.clientUnknown(attempt);
     }
     return false;
--- a/engine/src/main/java/shalepaddle/engine/ClientPresence.java
+++ b/engine/src/main/java/shalepaddle/engine/ClientPresence.java
@@ -5,9 +5,9 @@
   /** The client was connected until a moment ago. */
   CONNECTED,
 
-  /** The next poll of the client's connection tells whether the client has closed it. */
+  /** Whether the client has closed its connection is known soon, as all of it is read. */
   UNCONFIRMED,
 
-  /** Whether the client has closed its connection cannot be known until more of it is read. */
+  /** Whether the client has closed its connection cannot be known, since it is not read. */
   UNKNOWN
 }
--- a/engine/src/main/java/shalepaddle/front/CloseDetection.java
+++ b/engine/src/main/java/shalepaddle/front/CloseDetection.java
@@ -12,9 +12,9 @@
  * client has been gone. Proof that the client had not closed at a time is that bytes arrived after
  * that time, or that a poll which included the socket, when nothing was unread, did not report it.
  *
- * <p>While the socket is not read, its receive buffer can fill up, so that further bytes and the
- * close wait at the client's end. After such an interruption the connection proves nothing until no
- * more than a few bytes have arrived for {@link #SETTLE_NANOS}.
+ * <p>If many bytes are unread, the receive window can be used up, so that further bytes and the
+ * close wait at the client's end, and arrive only as this node reads. From then on the connection
+ * proves nothing until no more than a few bytes at a time have arrived for {@link #SETTLE_NANOS}.
  *
  * <p>Owned by its connection, on the event loop; all times are by the loop's clock.
  */
@@ -26,10 +26,10 @@
   static final long MAX_AGE_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
 
   /** More than the round trip time after which bytes that wait at the client's end arrive. */
-  static final long SETTLE_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+  static final long SETTLE_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
 
-  /** Bytes that can wait at the client's end arrive in larger portions, except for the last. */
-  private static final int MAX_SMALL_READ_BYTES = 4 << 10;
+  /** Less than a sender sends that a receive window holds up, unless it has no more to send. */
+  private static final int MAX_UNBLOCKED_BYTES = 4 << 10;
 
   private final LoopClock clock;
   private long openAtNanos;
@@ -41,10 +41,10 @@
 
   private int bytesInTurn;
 
-  /** Whether bytes may wait at the client's end, since reading was interrupted. */
+  /** Whether bytes may wait at the client's end. */
   private boolean isSettling;
 
-  /** When more bytes than a few were last read or left unread, or reading resumed. */
+  /** When the settling began, or began anew. */
   private long settlingSinceNanos;
 
   /**
@@ -84,17 +84,24 @@
   /** Records the end of reading in a turn whose poll reported the socket. */
   void readComplete(boolean isSocketEmpty) {
     reportedTurn = clock.turn();
-    if (!isSocketEmpty || bytesInTurn > MAX_SMALL_READ_BYTES) {
+    if (!isSocketEmpty || bytesInTurn > MAX_UNBLOCKED_BYTES) {
+      isSettling = true;
       settlingSinceNanos = clock.now();
+    } else if (hasSettledBy(clock.now())) {
+      isSettling = false;
     }
     bytesInTurn = 0;
   }
 
+  private boolean hasSettledBy(long nanos) {
+    return nanos - settlingSinceNanos >= SETTLE_NANOS;
+  }
+
   /** The latest time at which the client is known to have had its connection open. */
   long openAtNanos() {
     boolean wasInLastPoll = isPolled && clock.handledTurn() > polledSinceTurn;
     if (wasInLastPoll && clock.handledTurn() > reportedTurn) {
-      isSettling &= clock.handledPollNanos() - settlingSinceNanos < SETTLE_NANOS;
+      isSettling &= !hasSettledBy(clock.handledPollNanos());
       if (!isSettling) {
         openAtNanos = latest(openAtNanos, clock.handledPollNanos());
       }
@@ -107,7 +114,7 @@
     if (now - openAtNanos() <= MAX_AGE_NANOS) {
       return ClientPresence.CONNECTED;
     }
-    return isPolled && !isSettling ? ClientPresence.UNCONFIRMED : ClientPresence.UNKNOWN;
+    return isPolled ? ClientPresence.UNCONFIRMED : ClientPresence.UNKNOWN;
   }
 
   private static long latest(long firstNanos, long secondNanos) {
