A write whose id comes again after it may have run is not run again

The first run was begun before the close, as is allowed; nothing remembered it once its client had left.

Change: the ids of the latest 4,096 ended requests that are not idempotent and may have run are kept (RecentWrites); a client's request with such an id is answered as one whose id is in use: failed, which promises nothing. Calls from within the process name their ids themselves and are not checked.

--- a/daemon/src/test/java/shalepaddle/daemon/ClosedConnectionIT.java
+++ b/daemon/src/test/java/shalepaddle/daemon/ClosedConnectionIT.java
@@ -270,6 +270,42 @@
     assertNothingSentAfterEnd(clients);
   }
 
+  /** Guards against a write that runs again when its id comes once more after its client left. */
+  @Test
+  void writeRunsOnceWhenItsIdComesAgainAfterItsClientClosed() throws Exception {
+    startNode();
+    List<String> ids = new ArrayList<>();
+    for (int round = 0; round < 2 * ROUNDS; round++) {
+      List<Future<BurstClient>> running = new ArrayList<>();
+      for (int i = 0; i < CLIENT_COUNT; i++) {
+        Burst burst = burst(Kind.WRITES, 60);
+        ids.addAll(burst.ids());
+        running.add(
+            clientThreads.submit(
+                () -> {
+                  sendAndEnd(burst, BurstClient.Ending.SHUT_DOWN_OUTPUT);
+                  sendAndStay(burst);
+                  return null;
+                }));
+      }
+      awaitAll(running);
+    }
+    List<String> repeated = new ArrayList<>();
+    int[] runIds = new int[1];
+    runOnLoop(
+        () -> {
+          for (String id : ids) {
+            int effects = effectLog.entryOf(id).effectCount();
+            runIds[0] += Math.min(1, effects);
+            if (effects > 1) {
+              repeated.add(id);
+            }
+          }
+        });
+    System.out.printf("%d ids, %d run, %d twice%n", ids.size(), runIds[0], repeated.size());
+    assertEquals(List.of(), repeated);
+  }
+
   /** Sends a burst, stays connected, and returns the first line of each answer. */
   private List<String> sendAndStay(Burst burst) throws Exception {
     try (BurstClient client = new BurstClient(node.address())) {
--- a/engine/src/main/java/shalepaddle/engine/Dispatcher.java
+++ b/engine/src/main/java/shalepaddle/engine/Dispatcher.java
@@ -198,7 +198,8 @@
    *
    * @param sentAtNanos the earliest time at which the client can have sent the request, by the
    *     loop's clock
-   * @return null if another open request has the same id; the sink is not called then
+   * @return null if another open request has the same id, or one that has ended and may have run
+   *     and must not run twice; the sink is not called then
    */
   public Submission submit(Call call, long sentAtNanos) {
     return intake.submitRemote(call, sentAtNanos);
--- a/engine/src/main/java/shalepaddle/engine/ExchangeLifecycle.java
+++ b/engine/src/main/java/shalepaddle/engine/ExchangeLifecycle.java
@@ -20,6 +20,8 @@
  * <p>Owned by the event loop's thread.
  */
 final class ExchangeLifecycle {
+  private static final int MAX_RECENT_WRITES = 4096;
+
   private final LoopClock clock;
   private final PolicyEventLoop policy;
   private final AttemptLifecycle attempts;
@@ -33,6 +35,8 @@
   /** Exchanges that have not ended or have an attempt in flight, by their ids. */
   private final Map<String, Exchange> openExchanges = new HashMap<>();
 
+  private final RecentWrites recentWrites = new RecentWrites(MAX_RECENT_WRITES);
+
   private RequestQueue queue;
 
   /** Null if reads are not coalesced. */
@@ -70,6 +74,17 @@
     return openExchanges.values();
   }
 
+  /** Whether a request with this id has ended, may have run, and must not run twice. */
+  boolean isRecentWrite(String requestId) {
+    return recentWrites.contains(requestId);
+  }
+
+  private void remember(Exchange exchange) {
+    if (exchange.idempotency() != Settings.Idempotency.IDEMPOTENT && exchange.mayHaveRun()) {
+      recentWrites.add(exchange.id());
+    }
+  }
+
   /** The open exchange with this id, null if there is none. */
   Exchange find(String requestId) {
     return openExchanges.get(requestId);
@@ -241,8 +256,8 @@
       }
     }
     exchange.call().payload().release();
-    if (!exchange.hasAttemptsInFlight()) {
-      openExchanges.remove(exchange.id(), exchange);
+    if (!exchange.hasAttemptsInFlight() && openExchanges.remove(exchange.id(), exchange)) {
+      remember(exchange);
     }
   }
 }
--- a/engine/src/main/java/shalepaddle/engine/RequestIntake.java
+++ b/engine/src/main/java/shalepaddle/engine/RequestIntake.java
@@ -49,9 +49,12 @@
    * event loop.
    *
    * @param sentAtNanos the earliest time at which the client can have sent the request
-   * @return null if another open request has its id
+   * @return null if another request has its id
    */
   Submission submitRemote(Call call, long sentAtNanos) {
+    if (exchanges.isRecentWrite(call.request().id())) {
+      return refuseDuplicate(call);
+    }
     long budgetNanos = RequestSettings.toNanos(call.request().budgetSeconds());
     return submit(
         call, sentAtNanos, AnswerMargin.marginNanos(budgetNanos, clock.expectedStallNanos()));
@@ -62,7 +65,7 @@
    * caller stalls together with the event loop.
    *
    * @param sentAtNanos when the request was submitted
-   * @return null if another open request has its id
+   * @return null if another request has its id
    */
   Submission submitLocal(Call call, long sentAtNanos) {
     return submit(call, sentAtNanos, 0);
@@ -71,12 +74,10 @@
   private Submission submit(Call call, long sentAtNanos, long marginNanos) {
     Request request = call.request();
     String id = request.id();
-    metrics.countReceived();
     if (exchanges.find(id) != null || (reads != null && reads.hasId(id))) {
-      metrics.countAnswered(request.serviceClass(), new Reply.Failed(false));
-      call.payload().release();
-      return null;
+      return refuseDuplicate(call);
     }
+    metrics.countReceived();
     long now = clock.refresh();
     recorder.record(Event.REQUEST_READ, id);
     long clientDeadlineNanos = sentAtNanos + RequestSettings.toNanos(request.budgetSeconds());
@@ -93,6 +94,14 @@
         : open(call, sentAtNanos, deadlineNanos, clientDeadlineNanos, now);
   }
 
+  /** Counts a request whose id another request has; returns null. */
+  private Submission refuseDuplicate(Call call) {
+    metrics.countReceived();
+    metrics.countAnswered(call.request().serviceClass(), new Reply.Failed(false));
+    call.payload().release();
+    return null;
+  }
+
   private Exchange open(
       Call call, long sentAtNanos, long deadlineNanos, long clientDeadlineNanos, long now) {
     Exchange exchange = exchanges.open(call, deadlineNanos, clientDeadlineNanos);
