The rest of a write is not sent once its client has left, whoever else waits on the connection

Callers that closed while a large write was on its way to a server that read slowly had it run later: its rest left the node as the server read on, seconds after the close.

Cause: an attempt that is given up ended its connection only if nobody else waited on it, or if the attempt's write deadline had passed by the clock; its timer fires up to a tick before.

Change: a connection on which an attempt is given up in part sends nothing more: its sending is ended, so that replies to requests before it are still read, or it is closed if there are none.

Result: ClientDisconnectTest#restOfLargeWriteIsNotSentAfterItsClientDisconnects failed before (all 4 MiB came) and passes. The test limits the server's receive buffer. What the kernel had accepted before is still delivered, never the last byte.

--- a/engine/src/main/java/shalepaddle/upstream/ServerConnection.java
+++ b/engine/src/main/java/shalepaddle/upstream/ServerConnection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.DecoderException;
 import java.io.IOException;
 import java.net.SocketAddress;
@@ -178,21 +179,32 @@
   /**
    * Stops waiting for an attempt. Closing the connection cancels the attempt at the server, but
    * also breaks the other attempts in flight: if there are any, the reply is read and dropped
-   * instead. No more requests are written, since the reply may never be received.
+   * instead. No more requests are written, since the reply may never be received, and not one more
+   * byte of an attempt that was written in part.
    */
   @Override
   public void abandon(Attempt attempt, boolean isOverdue) {
+    boolean isPartlyWritten = !attempt.isWritten();
     inFlightAttempts.stopAwaiting(attempt);
     drain();
-    if (!attempt.isWritten() && attempt.isTooLateToWrite(clock.refresh())) {
+    if (isPartlyWritten) {
       // Otherwise the rest of the request would be sent once the kernel accepts more bytes.
-      channel.close();
+      endSending();
     }
     if (isOverdue && receiveActivity.receivedAtNanos() - attempt.sentAtNanos() < 0) {
       pool.drainIfSilentSince(attempt.sentAtNanos());
     }
   }
 
+  /** Drops unsent bytes and ends the stream to the server; replies to earlier requests are read. */
+  private void endSending() {
+    if (channel instanceof DuplexChannel duplexChannel && inFlightAttempts.isAnyAwaited()) {
+      duplexChannel.shutdownOutput();
+    } else {
+      channel.close();
+    }
+  }
+
   /** Handles a decoded message, and takes ownership of a buffer in it. */
   @Override
   public void channelRead(ChannelHandlerContext ctx, Object message) {
--- a/engine/src/test/java/shalepaddle/node/ClientDisconnectTest.java
+++ b/engine/src/test/java/shalepaddle/node/ClientDisconnectTest.java
@@ -43,6 +43,7 @@
       ,"instances":28,"caps":{"attempts-cap":3,"cancel":%b,"parallel-tries":true,\
       "multiplex":400,"connect-timeout":8,"conn-idle":60}""";
 
+  private static final int SMALL_BUFFER_BYTES = 4 << 10;
   private static final int DEADLINE_MILLIS = 30_000;
 
   private NodeFixture rig;
@@ -296,6 +297,26 @@
     assertEquals(0, forwardedCount, "requests forwarded of " + BATCH_COUNT * BATCH_SIZE);
   }
 
+  /** The server does not read; a read ahead of the write keeps the connection open. */
+  @Test
+  void restOfLargeWriteIsNotSentAfterItsClientDisconnects() throws Exception {
+    rig = new NodeFixture(1);
+    rig.cache.setReceiveBufferSize(SMALL_BUFFER_BYTES);
+    ScriptedPeer reader = rig.connectClient().write(NodeFixture.readCommand("a1", 1900));
+    ScriptedPeer cache = rig.acceptCache();
+    cache.readLine();
+    int valueBytes = 4 << 20;
+    ScriptedPeer writer =
+        rig.connectClient().write(NodeFixture.writeCommand("w1", 1900, "v".repeat(valueBytes)));
+    assertTrue(cache.readLine().contains("Ow1 "));
+    disconnect(List.of(writer));
+    assertTrue(
+        cache.readBytes(valueBytes).length < valueBytes,
+        "the write was sent completely after its client had disconnected");
+    cache.write("VA 1 Oa1\r\nx\r\n");
+    assertEquals("VA 1 Oa1", reader.readLine());
+  }
+
   /** The first turns after the stall accept and read all of a small batch, not of a large one. */
   @ParameterizedTest
   @ValueSource(ints = {BATCH_SIZE / 5, BATCH_SIZE})
