--- a/daemon/src/test/java/shalepaddle/daemon/BurstClient.java
+++ b/daemon/src/test/java/shalepaddle/daemon/BurstClient.java
@@ -93,6 +93,13 @@
     return lines;
   }
 
+  /** Sends one request; returns whether its answer came in this time. */
+  boolean exchange(String command, long withinMillis) throws IOException {
+    firstByteAtNanos = 0;
+    send(command, List.of());
+    return !readAnswerLines(1, withinMillis).isEmpty();
+  }
+
   /** The ids of all requests that were sent. */
   List<String> requestIds() {
     return requestIds;
