Client sockets have a receive buffer of several segments, so that a close comes with what is before it

With room for one segment of loopback (64 KiB) alone, the kernel shut the window, and after the node had read all it let the peer know only when the peer asked, 0.2 s and more later; the rest of the burst and the close came then. Not shown by a trace of segments.

Change: 256 KiB are asked for a client's socket. A burst up to that size comes whole, its close with it, while the node does not read; a larger one opens the window again with each part that is read.

--- a/engine/src/main/java/shalepaddle/node/SocketTransport.java
+++ b/engine/src/main/java/shalepaddle/node/SocketTransport.java
@@ -15,6 +15,12 @@
 
 /** TCP sockets on the Java platform's selector, with one pool of direct buffers. Thread-safe. */
 final class SocketTransport implements Transport {
+  /**
+   * Several times the largest segment. With room for one alone, the kernel announces a window that
+   * has opened again only when its peer probes it, and a client's close arrives as late.
+   */
+  private static final int CLIENT_RECEIVE_BUFFER_BYTES = 256 << 10;
+
   private final PooledByteBufAllocator allocator =
       new PooledByteBufAllocator(true, 0, 1, 8192, 6, 64, 16, true);
 
@@ -65,6 +71,8 @@
         .group(loop)
         .channelFactory(listenerFactory)
         .option(ChannelOption.SO_BACKLOG, 1024)
+        // Accepted connections inherit it.
+        .option(ChannelOption.SO_RCVBUF, CLIENT_RECEIVE_BUFFER_BYTES)
         .childOption(ChannelOption.ALLOCATOR, allocator)
         .childOption(ChannelOption.TCP_NODELAY, true)
         .childOption(
