A segment of buffered bytes is not appended to without end while it is taken from

Cause: bytes of a connection that is never read empty count as arrived together, and went into one segment. A buffer that is appended to while slices are taken from its start keeps what was taken.

Change: a segment takes up further reads only to 16 KiB, bytes that were taken included.

Result: InboundSegmentsTest#bytesThatWereTakenAreReleasedWhileMoreArrive failed with 12.6 MB in use, now under 100 KiB.

--- a/engine/src/main/java/shalepaddle/front/InboundSegments.java
+++ b/engine/src/main/java/shalepaddle/front/InboundSegments.java
@@ -19,6 +19,12 @@
   /** Bytes that arrived less than this after the first byte of a segment are appended to it. */
   private static final long MERGE_WINDOW_NANOS = 5_000_000;
 
+  /**
+   * Maximum bytes of a segment that several reads add to. A buffer that is appended to while it is
+   * taken from keeps the bytes that were taken.
+   */
+  private static final int MAX_MERGED_BYTES = 16 << 10;
+
   /** Bytes, and the earliest time at which any of them can have arrived. */
   private static final class Segment {
     private ByteBuf bytes;
@@ -79,7 +85,10 @@
     }
     bufferedBytes += newBytes;
     Segment last = segments.peekLast();
-    boolean isMerged = last != null && arrivalNanos - last.arrivalNanos < MERGE_WINDOW_NANOS;
+    boolean isMerged =
+        last != null
+            && arrivalNanos - last.arrivalNanos < MERGE_WINDOW_NANOS
+            && last.bytes.writerIndex() + newBytes <= MAX_MERGED_BYTES;
     Segment segment = isMerged ? last : new Segment(bytes, arrivalNanos);
     deadlineScanner.scan(bytes, segment::deadlineFound);
     if (isMerged) {
--- a/engine/src/test/java/shalepaddle/front/InboundSegmentsTest.java
+++ b/engine/src/test/java/shalepaddle/front/InboundSegmentsTest.java
@@ -82,6 +82,23 @@
     assertTrue(budget.reserve(BUDGET_BYTES - 50));
   }
 
+  /** Guards against memory that grows as long as a client sends faster than it is served. */
+  @Test
+  void bytesThatWereTakenAreReleasedWhileMoreArrive() {
+    InboundSegments busySegments = new InboundSegments(new MemoryBudget(1 << 20));
+    UnpooledByteBufAllocator allocator = new UnpooledByteBufAllocator(false);
+    for (int i = 0; i < 10_000; i++) {
+      busySegments.add(allocator, allocator.buffer().writeZero(1 << 10), 0);
+      if (i > 4) {
+        busySegments.take(1 << 10).release();
+      }
+    }
+    assertTrue(
+        allocator.metric().usedHeapMemory() < 100 << 10,
+        "bytes in use: " + allocator.metric().usedHeapMemory());
+    busySegments.clear();
+  }
+
   @Test
   void budgetIsExceededUntilUncoveredBytesAreTaken() {
     add("x".repeat(60), 0);
