An attempt waits at most 0.1 s until its client is known to be connected

Callers that send without a pause over 20 ms had requests wait up to their deadline for the proof that they are connected, 64 of them at a time, and the commands behind them longer.

Change: an attempt is checked again for 0.1 s at most, five times what a connection needs to settle, and its request is then rejected, so that the node comes to the end of what the client has sent.

--- a/engine/src/main/java/shalepaddle/engine/Attempt.java
+++ b/engine/src/main/java/shalepaddle/engine/Attempt.java
@@ -42,6 +42,8 @@
   private final boolean hasWriteDeadline;
   private final long writeDeadlineNanos;
   private long deadlineNanos;
+  private boolean isHeld;
+  private long heldSinceNanos;
   private State state = State.UNWRITTEN;
   private Call call;
 
@@ -123,6 +125,15 @@
     return connection;
   }
 
+  /** How long it has been held back since this was first called, at the given time. */
+  long heldNanos(long now) {
+    if (!isHeld) {
+      isHeld = true;
+      heldSinceNanos = now;
+    }
+    return now - heldSinceNanos;
+  }
+
   /** Assigns the attempt to the connection that is about to write it. */
   public void assignTo(Connection connection) {
     this.connection = connection;
--- a/engine/src/main/java/shalepaddle/engine/AttemptLifecycle.java
+++ b/engine/src/main/java/shalepaddle/engine/AttemptLifecycle.java
@@ -19,6 +19,9 @@
  * <p>Owned by the event loop's thread.
  */
 final class AttemptLifecycle {
+  /** How long an attempt waits at most until its client is known to be connected. */
+  private static final long MAX_CLIENT_CHECK_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
   /** The time until a client that was not known to be connected is checked again. */
   private static final long CLIENT_CHECK_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(2);
 
@@ -112,19 +115,22 @@
 
   /**
    * Checks right before an attempt is written that its client has not closed its connection. If
-   * that is known only later, the attempt is sent again then. If it cannot be known, the attempt is
-   * not sent, and its request is answered unless another attempt is in flight.
+   * that is known only later, the attempt is sent again then. If it cannot be known, or not soon,
+   * the attempt is not sent, and its request is answered unless another attempt is in flight.
    *
    * @return whether the attempt may be written now
    */
   boolean confirmClient(Attempt attempt) {
-    switch (attempt.exchange().call().sink().clientPresence(clock.now())) {
-      case CONNECTED -> {
-        return !attempt.isEnded();
-      }
-      case UNCONFIRMED ->
-          timers.runNoEarlierThan(CLIENT_CHECK_INTERVAL_NANOS, () -> upstream.send(attempt));
-      case UNKNOWN -> exchanges.clientUnknown(attempt);
+    long now = clock.now();
+    ClientPresence presence = attempt.exchange().call().sink().clientPresence(now);
+    if (presence == ClientPresence.CONNECTED) {
+      return !attempt.isEnded();
+    }
+    if (presence == ClientPresence.UNCONFIRMED
+        && attempt.heldNanos(now) <= MAX_CLIENT_CHECK_NANOS) {
+      timers.runNoEarlierThan(CLIENT_CHECK_INTERVAL_NANOS, () -> upstream.send(attempt));
+    } else {
+      exchanges.clientUnknown(attempt);
     }
     return false;
   }
--- a/engine/src/test/java/shalepaddle/node/CoalescedReadsTest.java
+++ b/engine/src/test/java/shalepaddle/node/CoalescedReadsTest.java
@@ -310,8 +310,25 @@
     assertInstanceOf(Reply.Rejected.class, replies.get("w"));
   }
 
+  /** Guards against requests of a client that never stops sending waiting until their deadline. */
   @Test
-  void attemptIsSentAgainAfterNextPollWhenThatTellsOfItsClient() {
+  void requestIsRejectedWhenItsClientIsNotKnownToBeConnectedSoon() {
+    hasNoConnection = true;
+    submit("w", "write", 1000, () -> {});
+    presences.put("w", ClientPresence.UNCONFIRMED);
+    for (int i = 0; i < 60; i++) {
+      Attempt attempt = sentAttempts.get(sentAttempts.size() - 1);
+      if (!attempt.isEnded()) {
+        assertFalse(dispatcher.confirmClient(attempt));
+      }
+      engine.advanceMillis(2);
+    }
+    assertInstanceOf(Reply.Rejected.class, replies.get("w"));
+    assertTrue(answeredAtMillis.get("w") >= 100, answeredAtMillis.toString());
+  }
+
+  @Test
+  void attemptIsSentAgainOnceItsClientIsKnownToBeConnected() {
     hasNoConnection = true;
     submit("w", "write", 1000, () -> {});
     Attempt attempt = sentAttempts.get(0);
