RepeatedReplyTest: the server's buffer is so small that the kernel does not take the write at once

Seen: restOfLargeWriteIsNotSentAfterRejectionOfItsFirstBytes, 'the write was sent completely after it was rejected', in two of four whole runs on arm64; it passed in 14 runs of its class alone.

Cause: the test's premise. It needs a write of 4 MiB that is held up half way; with a receive buffer of 64 KiB, loopback took 4,284,475 bytes in six of six tries of a probe, the whole command, so that it was sent before the rejection. With 4 KiB it took 2,990,080 in six of six.

Change: the server's receive buffer is 4 KiB. What is checked is unchanged, and now holds on machines with larger buffers.

--- a/engine/src/test/java/shalepaddle/node/RepeatedReplyTest.java
+++ b/engine/src/test/java/shalepaddle/node/RepeatedReplyTest.java
@@ -20,7 +20,7 @@
   /** More than the socket buffers of both ends hold, as the server's is limited. */
   private static final int LARGE_VALUE_BYTES = 4 << 20;
 
-  private static final int RECEIVE_BUFFER_BYTES = 64 << 10;
+  private static final int RECEIVE_BUFFER_BYTES = 4 << 10;
 
   private NodeFixture rig;
   private ScriptedPeer client;
