--- a/engine/src/main/java/shalepaddle/front/ArrivalTracker.java
+++ b/engine/src/main/java/shalepaddle/front/ArrivalTracker.java
@@ -76,7 +76,8 @@
     isReading = false;
   }
 
-  private static long latest(long firstNanos, long secondNanos) {
+  /** The later of two times of one monotonic clock. */
+  static long latest(long firstNanos, long secondNanos) {
     return firstNanos - secondNanos > 0 ? firstNanos : secondNanos;
   }
 }
--- a/engine/src/main/java/shalepaddle/front/CloseDetection.java
+++ b/engine/src/main/java/shalepaddle/front/CloseDetection.java
@@ -77,7 +77,7 @@
     reportedTurn = clock.turn();
     bytesInTurn += bytes;
     if (!isSettling) {
-      openAtNanos = latest(openAtNanos, arrivalNanos);
+      openAtNanos = ArrivalTracker.latest(openAtNanos, arrivalNanos);
     }
   }
 
@@ -103,7 +103,7 @@
     if (wasInLastPoll && clock.handledTurn() > reportedTurn) {
       isSettling &= !hasSettledBy(clock.handledPollNanos());
       if (!isSettling) {
-        openAtNanos = latest(openAtNanos, clock.handledPollNanos());
+        openAtNanos = ArrivalTracker.latest(openAtNanos, clock.handledPollNanos());
       }
     }
     return openAtNanos;
@@ -116,8 +116,4 @@
     }
     return isPolled ? ClientPresence.UNCONFIRMED : ClientPresence.UNKNOWN;
   }
-
-  private static long latest(long firstNanos, long secondNanos) {
-    return firstNanos - secondNanos > 0 ? firstNanos : secondNanos;
-  }
 }
--- a/engine/src/main/java/shalepaddle/front/InboundSegments.java
+++ b/engine/src/main/java/shalepaddle/front/InboundSegments.java
@@ -103,15 +103,19 @@
    * first segment count until all of it is taken.
    */
   OptionalLong earliestDeadlineNanos() {
-    long now = segments.isEmpty() ? 0 : segments.peek().arrivalNanos;
-    OptionalLong earliestFromNow =
+    if (segments.isEmpty()) {
+      return OptionalLong.empty();
+    }
+    // Times of a monotonic clock are compared by their differences.
+    long originNanos = firstArrivalNanos();
+    OptionalLong earliestFromOrigin =
         segments.stream()
             .filter(Segment::hasDeadline)
-            .mapToLong(segment -> segment.deadlineNanos() - now)
+            .mapToLong(segment -> segment.deadlineNanos() - originNanos)
             .min();
-    return earliestFromNow.isPresent()
-        ? OptionalLong.of(now + earliestFromNow.getAsLong())
-        : earliestFromNow;
+    return earliestFromOrigin.isPresent()
+        ? OptionalLong.of(originNanos + earliestFromOrigin.getAsLong())
+        : earliestFromOrigin;
   }
 
   /** The earliest time at which the first bytes can have arrived. There must be some. */
