Review case: a write runs twice, or is refused though run, when a no-op is answered at once

Nothing outside review/ is changed.

Result: the copy of a rejection brings a write into doubt, and the reply to the no-op behind it, which comes before the write is done, is taken for the proof that the write was rejected.

--- a/review/stand-ins-2/RefusedProbe.java
+++ b/review/stand-ins-2/RefusedProbe.java
@@ -94,7 +94,7 @@
   }
 
   /** Whether a command is turned away is decided as it arrives, and all others begin then. */
-  private void arrived(Rig.CacheServer server, Rig.Command command) {
+  private boolean arrived(Rig.CacheServer server, Rig.Link link, Rig.Command command) {
     Double since = fullSince.get(server.id);
     double millis = since == null ? Double.MAX_VALUE : 1e3 * (command.arrived - since);
     command.isTurnedAway = millis >= FULL_FROM_MILLIS && millis < FULL_UNTIL_MILLIS;
@@ -110,6 +110,7 @@
     rig.log(
         "%s gets %s %s: %s",
         server.id, command.verb, command.id, command.isTurnedAway ? "turned away" : "begins");
+    return false;
   }
 
   /** Answers in the order of the commands. */
--- a/review/stand-ins-2/Rig.java
+++ b/review/stand-ins-2/Rig.java
@@ -23,7 +23,6 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
-import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Stream;
 
@@ -470,6 +469,12 @@
     void handle(CacheServer server, Link link, Command command) throws Exception;
   }
 
+  /** What a cache server does as a command arrives, also while an earlier one is being handled. */
+  interface Arrival {
+    /** Returns whether the command needs nothing more. */
+    boolean isDone(CacheServer server, Link link, Command command) throws IOException;
+  }
+
   /** A cache server that answers each connection's commands in order. */
   final class CacheServer implements AutoCloseable {
     final String id;
@@ -479,7 +484,7 @@
     private final Behaviour behaviour;
 
     /** Called when a command has arrived; probes are handled as other commands are if it is set. */
-    volatile BiConsumer<CacheServer, Command> onArrival;
+    volatile Arrival onArrival;
 
     /** While it is true the server reads nothing. */
     volatile BooleanSupplier pauses = () -> false;
@@ -513,10 +518,9 @@
       try {
         // Commands are read as they arrive, also while an earlier one is being handled.
         for (Command command = readCommand(link); command != null; command = readCommand(link)) {
-          if (onArrival != null) {
-            onArrival.accept(this, command);
+          if (onArrival == null || !onArrival.isDone(this, link, command)) {
+            arrived.add(command);
           }
-          arrived.add(command);
         }
       } finally {
         link.hasEnded = true;
