--- a/review/stand-ins-2/BehindBrokenValue.java
+++ b/review/stand-ins-2/BehindBrokenValue.java
@@ -51,7 +51,7 @@
       return Rig.CANNOT_RUN;
     }
     // Writes whose keys go to the first and to another cache server show who has which key.
-    try (Rig.Client client = new Rig.Client(port)) {
+    try (Rig.Client client = rig.new Client(port)) {
       client.socket.setSoTimeout(5000);
       for (int i = 0; i < 100; i++) {
         client.send("ms key" + i + " 1 Ofirst" + i + " Pc=put,d=1000\r\nx\r\n");
@@ -98,7 +98,7 @@
   private void ask(String readKey, String writeKey, String round) throws IOException {
     String readId = "long" + round;
     String writeId = "write" + round;
-    try (Rig.Client client = new Rig.Client(port)) {
+    try (Rig.Client client = rig.new Client(port)) {
       client.socket.setSoTimeout(8000);
       client.send(
           Rig.read(readKey, readId, "read", DEADLINE_MILLIS)
--- a/review/stand-ins-2/LeavingWriter.java
+++ b/review/stand-ins-2/LeavingWriter.java
@@ -78,13 +78,17 @@
   private void serve(Rig.CacheServer server, Rig.Link link, Rig.Command command)
       throws IOException {
     serverOfKey.put(command.key, server.id);
-    rig.log("%s runs %s %s, came whole at %.4f", server.id, command.verb, command.id, command.arrived);
+    rig.log(
+        "%s runs %s %s, came whole at %.4f",
+        server.id, command.verb, command.id, command.arrived);
     if (command.id.startsWith("long")) {
       longWrites.incrementAndGet();
       Double closed = closedAt.get(command.id);
       if (closed != null && command.arrived - closed > ALLOWED_SECONDS) {
         broken.incrementAndGet();
-        rig.log("BROKEN: %s began %.3f s after its client closed", command.id, command.arrived - closed);
+        rig.log(
+            "BROKEN: %s began %.3f s after its client closed",
+            command.id, command.arrived - closed);
       }
     }
     link.write("HD O" + command.id + " cR" + command.id + "\r\n");
@@ -92,7 +96,7 @@
 
   /** A key whose writes go to the first cache server. */
   private String keyOfFirstServer() throws IOException {
-    try (Rig.Client client = new Rig.Client(port)) {
+    try (Rig.Client client = rig.new Client(port)) {
       client.socket.setSoTimeout(5000);
       for (int i = 0; i < 400; i++) {
         String key = "sheet" + i;
@@ -114,7 +118,7 @@
     // Bytes that it was already waiting for are still read.
     Rig.sleep(100);
     double until = rig.seconds() + HANG_MILLIS / 1e3;
-    Rig.Client client = new Rig.Client(port);
+    Rig.Client client = rig.new Client(port);
     client.send("ms " + key + " " + VALUE_BYTES + " O" + id + " Pc=put,d=3000\r\n");
     client.out.write(value);
     client.send("\r\n");
--- a/review/stand-ins-2/NoOpAtOnce.java
+++ b/review/stand-ins-2/NoOpAtOnce.java
@@ -7,9 +7,9 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * A cache server turns a read away twice, the second time some milliseconds late, while a write that
- * must not run twice is being handled on the connection. The node sends a no-op (mn) behind the
- * write; the cache server answers it at once, before the write is done.
+ * A cache server turns a read away twice, the second time some milliseconds late, while a write
+ * that must not run twice is being handled on the connection. The node sends a no-op (mn) behind
+ * the write; the cache server answers it at once, before the write is done.
  */
 final class NoOpAtOnce {
   private static final int SERVERS = 6;
@@ -120,7 +120,7 @@
 
   private List<String> keysOf(String server) throws IOException {
     List<String> keys = new ArrayList<>();
-    try (Rig.Client client = new Rig.Client(port)) {
+    try (Rig.Client client = rig.new Client(port)) {
       client.socket.setSoTimeout(5000);
       for (int i = 0; i < 200; i++) {
         client.send("ms key" + i + " 1 Ofirst" + i + " Pc=put,d=1000\r\nx\r\n");
@@ -136,7 +136,7 @@
   private void play(List<String> keys, int round) throws IOException {
     String readKey = keys.get(round % keys.size());
     String writeKey = keys.get((round + 1) % keys.size());
-    try (Rig.Client client = new Rig.Client(port)) {
+    try (Rig.Client client = rig.new Client(port)) {
       client.socket.setSoTimeout(4000);
       for (int i = 0; i < READS_SERVED; i++) {
         client.send(Rig.read("key" + i, "good" + round + "-" + i, "read", 2000));
--- a/review/stand-ins-2/PipelinedReads.java
+++ b/review/stand-ins-2/PipelinedReads.java
@@ -139,7 +139,7 @@
   /** Reads all keys one after the other, so that the node knows which server has them. */
   private boolean warmUp() throws IOException {
     int served = 0;
-    try (Rig.Client client = new Rig.Client(port)) {
+    try (Rig.Client client = rig.new Client(port)) {
       client.socket.setSoTimeout(5000);
       for (int i = 0; i < 2 * KEYS; i++) {
         client.send(Rig.read("long" + i % KEYS, "w" + i, "read", DEADLINE_MILLIS));
@@ -153,7 +153,7 @@
 
   /** Sends many reads at once and awaits their answers. */
   private void batch(Random random) throws IOException {
-    try (Rig.Client client = new Rig.Client(port)) {
+    try (Rig.Client client = rig.new Client(port)) {
       StringBuilder commands = new StringBuilder();
       List<String> sent = new ArrayList<>();
       for (int i = 0; i < COMMANDS; i++) {
@@ -203,7 +203,7 @@
   private void probe() {
     for (int i = 0; !hasEnded; i++) {
       double since = rig.seconds();
-      try (Rig.Client client = new Rig.Client(port)) {
+      try (Rig.Client client = rig.new Client(port)) {
         String id = "o" + i;
         client.send(Rig.read("short" + i % 20, id, "read", DEADLINE_MILLIS));
         worstSeconds = Math.max(worstSeconds, await(client, id, since) - since);
--- a/review/stand-ins-2/RefusedProbe.java
+++ b/review/stand-ins-2/RefusedProbe.java
@@ -143,7 +143,7 @@
 
   private List<String> keysOf(String server) throws IOException {
     List<String> keys = new ArrayList<>();
-    try (Rig.Client client = new Rig.Client(port)) {
+    try (Rig.Client client = rig.new Client(port)) {
       client.socket.setSoTimeout(5000);
       for (int i = 0; i < 200; i++) {
         client.send("ms key" + i + " 1 Ofirst" + i + " Pc=put,d=1000\r\nx\r\n");
@@ -161,8 +161,8 @@
     String first = keys.get(round % count);
     String second = keys.get((round + 1) % count);
     String third = keys.get((round + 2) % count);
-    try (Rig.Client reader = new Rig.Client(port);
-        Rig.Client writer = new Rig.Client(port)) {
+    try (Rig.Client reader = rig.new Client(port);
+        Rig.Client writer = rig.new Client(port)) {
       reader.socket.setSoTimeout(4000);
       writer.socket.setSoTimeout(4000);
       reader.send(Rig.read(first, "twice" + round, "read", 2000));
--- a/review/stand-ins-2/Rig.java
+++ b/review/stand-ins-2/Rig.java
@@ -146,7 +146,6 @@
     final Path log;
     final Map<String, String> environment = new LinkedHashMap<>();
     Process process;
-    private long pid;
 
     Node(String name, int port, String json) throws IOException {
       this.port = port;
@@ -170,7 +169,6 @@
       builder.redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
       process = builder.start();
       processes.add(process);
-      pid = process.pid();
       return this;
     }
 
@@ -193,11 +191,6 @@
       }
       return false;
     }
-
-    /** Sends a signal to the program that run started: the shell has replaced itself by it. */
-    void signal(String name) throws IOException, InterruptedException {
-      new ProcessBuilder("/bin/kill", "-" + name, Long.toString(pid)).start().waitFor();
-    }
   }
 
   static Path root() {
@@ -277,14 +270,8 @@
 
   // ---------------------------------------------------------------------------------- discovery
 
-  static String list(int version, boolean full, List<String> entries) {
-    return "{\"version\":"
-        + version
-        + ",\"full\":"
-        + full
-        + ",\"servers\":["
-        + String.join(",", entries)
-        + "]}";
+  static String list(List<String> entries) {
+    return "{\"version\":1,\"full\":true,\"servers\":[" + String.join(",", entries) + "]}";
   }
 
   static String entry(String id, int port, int cell, String state) {
@@ -299,11 +286,10 @@
         + "\",\"weight\":1.0,\"started_ms\":0}";
   }
 
-  /** Discovery: one whole list at the start of each watch, then changes, and empty lines. */
+  /** Discovery: the whole list at the start of each watch, then empty lines. */
   final class Discovery implements AutoCloseable {
     private final ServerSocket listener = new ServerSocket(0, 50, LOOPBACK);
     private final List<OutputStream> watches = new ArrayList<>();
-    private int version = 1;
     private final Map<String, String> entries = new LinkedHashMap<>();
 
     Discovery() throws IOException {
@@ -321,18 +307,10 @@
     }
 
     synchronized String whole() {
-      return list(version, true, List.copyOf(entries.values()));
+      return list(List.copyOf(entries.values()));
     }
 
-    /** Changes one entry and writes the change to all watches. */
-    synchronized void change(String id, String entry) {
-      version++;
-      entries.put(id, entry);
-      log("discovery tells version %d: %s", version, entry);
-      send(list(version, false, List.of(entry)) + "\n");
-    }
-
-    synchronized void send(String text) {
+    private synchronized void send(String text) {
       for (OutputStream watch : List.copyOf(watches)) {
         try {
           chunk(watch, text);
@@ -620,7 +598,7 @@
   // ------------------------------------------------------------------------------------ clients
 
   /** A client's connection, which reads answers in the order of its commands. */
-  static final class Client implements AutoCloseable {
+  final class Client implements AutoCloseable {
     final Socket socket;
     final InputStream in;
     final OutputStream out;
@@ -634,6 +612,11 @@
     }
 
     void send(String text) throws IOException {
+      for (String line : text.split("\r\n")) {
+        if (line.startsWith("mg ") || line.startsWith("ms ")) {
+          log("a client sends %s", line);
+        }
+      }
       out.write(text.getBytes(StandardCharsets.ISO_8859_1));
       out.flush();
     }
