The log is written on a thread of its own: nobody waits for its reader

Callers of a node whose standard error is a pipe that nobody reads got no answer from its first log line on, and at a planned restart every open request was lost at SIGKILL. The event loop itself wrote the lines; so did the thread that publishes to other processes, while it held the lock that the start of a drain waits for.

The end of the process waits for it for 0.2 s at most.

--- a/daemon/src/test/java/shalepaddle/daemon/DeployFile.java
+++ b/daemon/src/test/java/shalepaddle/daemon/DeployFile.java
@@ -9,18 +9,25 @@
 
 /** Runs and signals the commands of the deploy file, as the platform does. */
 final class DeployFile {
+  /**
+   * The folder of the deployment whose commands run: this one, or another build that it is compared
+   * with.
+   */
+  private static final Path ROOT = Path.of(System.getProperty("deploy.root", ""));
+
   private DeployFile() {}
 
   /** Returns a builder for the named command, with standard error merged into its output. */
   static ProcessBuilder commandBuilder(String commandName) throws IOException {
     return new ProcessBuilder(List.of("/bin/sh", "-c", shellCommand(commandName)))
+        .directory(ROOT.toAbsolutePath().toFile())
         .redirectErrorStream(true);
   }
 
   /** Returns the shell command line of the named command. */
   static String shellCommand(String commandName) throws IOException {
     String line =
-        Files.readAllLines(Path.of("deploy/balancer.toml")).stream()
+        Files.readAllLines(ROOT.resolve("deploy/balancer.toml")).stream()
             .filter(text -> text.startsWith(commandName + " = "))
             .findFirst()
             .orElseThrow();
--- a/daemon/src/test/java/shalepaddle/daemon/Fleet.java
+++ b/daemon/src/test/java/shalepaddle/daemon/Fleet.java
@@ -15,6 +15,8 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Predicate;
+import java.util.function.ToLongFunction;
 
 /**
  * Stand-in cache servers, and the discovery service that lists them. The servers answer after a
@@ -28,7 +30,8 @@
   private final Map<String, AtomicInteger> writeExecutions = new ConcurrentHashMap<>();
   private final Set<Connection> openConnections = ConcurrentHashMap.newKeySet();
   private final int maxConnections;
-  private final int answerMillis;
+  private final AnswerPolicy answerPolicy;
+  private final Map<String, Long> firstArrivalNanos = new ConcurrentHashMap<>();
   private final AtomicInteger[] connectionCounts;
   private final long[] startTimeMillis;
   private int listVersion = 1;
@@ -36,6 +39,14 @@
   private final AtomicInteger watchRequests = new AtomicInteger();
   private final Set<Socket> watchSockets = ConcurrentHashMap.newKeySet();
 
+  /**
+   * How the servers answer.
+   *
+   * @param delayMillis the time that a server takes for a request
+   * @param isRejected whether a server rejects a request instead of running it
+   */
+  record AnswerPolicy(ToLongFunction<String> delayMillis, Predicate<String> isRejected) {}
+
   Fleet(int serverCount) throws IOException {
     this(serverCount, Integer.MAX_VALUE, 0);
   }
@@ -48,8 +59,19 @@
    * @param answerMillis time that a server takes for a request
    */
   Fleet(int serverCount, int maxConnections, int answerMillis) throws IOException {
+    this(serverCount, maxConnections, new AnswerPolicy(id -> answerMillis, id -> false));
+  }
+
+  /**
+   * Starts the servers and discovery.
+   *
+   * @param serverCount number of servers
+   * @param maxConnections limit on the connections of each server
+   * @param answerPolicy how the servers answer; called on the threads of their connections
+   */
+  Fleet(int serverCount, int maxConnections, AnswerPolicy answerPolicy) throws IOException {
     this.maxConnections = maxConnections;
-    this.answerMillis = answerMillis;
+    this.answerPolicy = answerPolicy;
     connectionCounts = new AtomicInteger[serverCount];
     startTimeMillis = new long[serverCount];
     serverSockets = new ServerSocket[serverCount];
@@ -148,18 +170,27 @@
         OutputStream out = socket.getOutputStream();
         for (String line = readLine(in); line != null; line = readLine(in)) {
           String[] commandWords = line.split(" ", 0);
+          if (commandWords[0].equals("mn")) {
+            out.write("MN\r\n".getBytes(StandardCharsets.US_ASCII));
+            continue;
+          }
           String id = commandWords[3].substring(1);
           String answer = "VA 5 O" + id + " h1\r\nvalue\r\n";
           if (commandWords[0].equals("ms")) {
             in.readNBytes(Integer.parseInt(commandWords[2]) + 2);
             answer = "HD O" + id + " c1\r\n";
           }
-          awaitAnswerTime();
+          firstArrivalNanos.putIfAbsent(id, System.nanoTime());
+          awaitAnswerTime(answerPolicy.delayMillis().applyAsLong(id));
+          boolean isRejected = answerPolicy.isRejected().test(id);
+          if (isRejected) {
+            answer = "SERVER_ERROR busy\r\n";
+          }
           synchronized (this) {
             if (socket.isClosed()) {
               return;
             }
-            if (commandWords[0].equals("ms")) {
+            if (commandWords[0].equals("ms") && !isRejected) {
               writeExecutions.computeIfAbsent(id, i -> new AtomicInteger()).incrementAndGet();
             }
             servedRequests[serverIndex].incrementAndGet();
@@ -173,9 +204,9 @@
       }
     }
 
-    private void awaitAnswerTime() {
+    private void awaitAnswerTime(long delayMillis) {
       try {
-        Thread.sleep(answerMillis);
+        Thread.sleep(delayMillis);
       } catch (InterruptedException e) {
         Thread.currentThread().interrupt();
       }
@@ -225,6 +256,16 @@
     return count == null ? 0 : count.get();
   }
 
+  /** Returns whether a request has arrived at a server. */
+  boolean hasArrived(String id) {
+    return firstArrivalNanos.containsKey(id);
+  }
+
+  /** Returns when a request first arrived at a server; null if it did not. */
+  Long firstArrivalNanos(String id) {
+    return firstArrivalNanos.get(id);
+  }
+
   int discoveryPort() {
     return discoverySocket.getLocalPort();
   }
@@ -257,6 +298,11 @@
    * @param maxDescriptors limit on the node's descriptors
    */
   String config(int port, int maxDescriptors) {
+    return config(port, maxDescriptors, 2);
+  }
+
+  /** Returns the configuration of a node whose services have the given longest deadline. */
+  String config(int port, int maxDescriptors, double longestDeadlineSeconds) {
     return """
         {"listen":"127.0.0.1:%d","discovery":"127.0.0.1:%d","seed":"8c1f30d27a5be964",
          "limits":{"memory_mb":192,"sockets":%d},"known":%s,
@@ -264,10 +310,16 @@
           "caps":{"attempts-cap":3,"cancel":true,"parallel-tries":true,"multiplex":32,
                   "connect-timeout":0.15,"conn-idle":60},
           "contract":{"ask-within":10,"drain-grace":2,"cold-from":0.1,"warm-within":1},
-          "services":[{"name":"read","effect":"retryable","slo":0.75,"give-up":2},
-                      {"name":"put","effect":"fragile","slo":0.75,"give-up":2}]}}
+          "services":[{"name":"read","effect":"retryable","slo":0.75,"give-up":%s},
+                      {"name":"put","effect":"fragile","slo":0.75,"give-up":%s}]}}
         """
-        .formatted(port, discoveryPort(), maxDescriptors, listJson());
+        .formatted(
+            port,
+            discoveryPort(),
+            maxDescriptors,
+            listJson(),
+            longestDeadlineSeconds,
+            longestDeadlineSeconds);
   }
 
   /** Closes each connection on which the server list is watched. */
--- a/daemon/src/test/java/shalepaddle/daemon/PausableNode.java
+++ b/daemon/src/test/java/shalepaddle/daemon/PausableNode.java
@@ -46,16 +46,39 @@
     this(folder, name, configForPort, Map.of());
   }
 
+  /** Starts a node on a given port, without waiting until it listens. */
+  PausableNode(Path folder, String name, int port, IntFunction<String> configForPort)
+      throws Exception {
+    this(folder, name, port, configForPort, Map.of(), null);
+  }
+
   /** Starts a node with additional environment variables, without waiting until it listens. */
   PausableNode(
       Path folder, String name, IntFunction<String> configForPort, Map<String, String> environment)
       throws Exception {
-    int port = DeployFile.findFreePort();
+    this(folder, name, DeployFile.findFreePort(), configForPort, environment, null);
+  }
+
+  /**
+   * Starts a node on a given port.
+   *
+   * @param output where the node's output goes, null for its log file
+   */
+  PausableNode(
+      Path folder,
+      String name,
+      int port,
+      IntFunction<String> configForPort,
+      Map<String, String> environment,
+      ProcessBuilder.Redirect output)
+      throws Exception {
     address = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
     configFile = folder.resolve(name + ".json");
     logFile = folder.resolve(name + ".log");
     replaceConfig(configForPort.apply(port));
-    ProcessBuilder builder = DeployFile.commandBuilder("run").redirectOutput(logFile.toFile());
+    ProcessBuilder builder =
+        DeployFile.commandBuilder("run")
+            .redirectOutput(output == null ? ProcessBuilder.Redirect.to(logFile.toFile()) : output);
     builder.environment().put("ROUTER_CONFIG", configFile.toString());
     builder.environment().putAll(environment);
     process = builder.start();
--- a/engine/src/main/java/shalepaddle/node/Node.java
+++ b/engine/src/main/java/shalepaddle/node/Node.java
@@ -22,6 +22,7 @@
 import shalepaddle.hotrestart.ProcessFiles;
 import shalepaddle.loop.Clock;
 import shalepaddle.loop.Log;
+import shalepaddle.loop.LogWriter;
 import shalepaddle.loop.LoopClock;
 import shalepaddle.loop.WatchedIoHandler;
 import shalepaddle.model.Observation;
@@ -49,6 +50,9 @@
   /** The step of {@link #awaitDrained(long)}: a stall of any length counts as one step at most. */
   private static final long DRAIN_STEP_MILLIS = 50;
 
+  /** How long the end of the process waits for the reader of its log. */
+  private static final long MAX_LOG_FLUSH_MILLIS = 200;
+
   /** Stalls longer than this are logged. */
   private static final long MIN_LOGGED_STALL_NANOS = 250_000_000L;
 
@@ -119,6 +123,7 @@
   private void handleLoopFailure() {
     isListening = false;
     if (haltsOnLoopFailure) {
+      LogWriter.standardError().flush(MAX_LOG_FLUSH_MILLIS);
       Runtime.getRuntime().halt(EventLoopThreads.LOOP_FAILURE_EXIT_CODE);
     }
   }
@@ -287,6 +292,7 @@
           isDrainComplete
               ? "drained"
               : "event=drain_timeout client_connections=" + balancer.clientConnections());
+      LogWriter.standardError().flush(MAX_LOG_FLUSH_MILLIS);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
--- a/engine/src/main/java/shalepaddle/node/NodeProcess.java
+++ b/engine/src/main/java/shalepaddle/node/NodeProcess.java
@@ -11,6 +11,7 @@
 import shalepaddle.config.OperatorFile;
 import shalepaddle.hotrestart.InheritedListener;
 import shalepaddle.hotrestart.ProcessFiles;
+import shalepaddle.loop.LogWriter;
 import shalepaddle.membership.MemberList;
 import shalepaddle.settings.FormatException;
 import shalepaddle.settings.JsonObject;
@@ -80,7 +81,7 @@
           ProcessHandle.current().pid(),
           System::currentTimeMillis,
           pid -> ProcessHandle.of(pid).map(ProcessHandle::isAlive).orElse(false),
-          System.err::println);
+          LogWriter.standardError());
     }
   }
 
