A shutdown logs its steps and what is open; a stall logs what it was spent in

Now: event=shutdown_requested with the time of day, on the thread that gets the signal; event=shutdown with its step, its time, how long ago the signal can have come, open requests and connections by status, at each step and every 250 ms, so that the last line of a killed process tells what was left. Lines on stalls say how much of the time the loop's thread ran, waited for a processor, or was stopped or blocked (Linux's scheduler statistics, two system calls per 25 ms). These lines pass the limit of lines per second, since each process writes few of them.

--- a/engine/src/main/java/shalepaddle/front/ClientConnections.java
+++ b/engine/src/main/java/shalepaddle/front/ClientConnections.java
@@ -5,7 +5,9 @@
 import java.util.EnumMap;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
+import java.util.StringJoiner;
 import java.util.concurrent.TimeUnit;
 import shalepaddle.diagnostics.Event;
 import shalepaddle.loop.LoopClock;
@@ -276,6 +278,15 @@
     return connectionCount;
   }
 
+  /** The number of connections in each status, in fields of a log line. */
+  public String describeCounts() {
+    StringJoiner counts = new StringJoiner(" ");
+    connectionsByStatus.forEach(
+        (status, clients) ->
+            counts.add(status.name().toLowerCase(Locale.ROOT) + "=" + clients.size()));
+    return counts.toString();
+  }
+
   /**
    * Closes connections that have exceeded the maximum time in their status. Must not be called
    * while the clock has a backlog, which may include their requests.
--- a/engine/src/main/java/shalepaddle/front/ClientFront.java
+++ b/engine/src/main/java/shalepaddle/front/ClientFront.java
@@ -102,6 +102,11 @@
     return clients.connectionCount();
   }
 
+  /** See {@link ClientConnections#describeCounts}. */
+  public String describeCounts() {
+    return clients.describeCounts();
+  }
+
   /**
    * Ends all connections, each after its pending responses; see {@link ClientConnections#drain}.
    *
--- a/engine/src/main/java/shalepaddle/node/GracefulShutdown.java
+++ b/engine/src/main/java/shalepaddle/node/GracefulShutdown.java
@@ -54,6 +54,7 @@
   private final ClientFront front;
   private final SnapshotPublisher snapshots;
   private final Log log;
+  private final ShutdownLog shutdownLog;
   private final DoubleSupplier longestDeadlineSeconds;
 
   /** The client listener, null before the node listens. */
@@ -78,6 +79,7 @@
     this.front = front;
     this.snapshots = snapshots;
     this.log = log;
+    this.shutdownLog = new ShutdownLog(loop, clock, dispatcher, front, log);
     this.longestDeadlineSeconds = longestDeadlineSeconds;
   }
 
@@ -105,7 +107,12 @@
     // After a stall, timers run only once the backlog of the stall has been accepted and read.
     dispatcher
         .timers()
-        .runNoEarlierThan(TimeUnit.MILLISECONDS.toNanos(MIN_ACCEPT_MILLIS), this::stopAccepting);
+        .runNoEarlierThan(
+            TimeUnit.MILLISECONDS.toNanos(MIN_ACCEPT_MILLIS),
+            () -> {
+              stopAccepting();
+              shutdownLog.step("accepting_stopped");
+            });
     dispatcher
         .timers()
         .runNoEarlierThan(
@@ -116,7 +123,7 @@
                   loop,
                   0,
                   untilStopReadingMillis(untilAnsweredMillis - untilCloseIdleMillis),
-                  onDrained);
+                  () -> end(onDrained));
             });
   }
 
@@ -132,7 +139,16 @@
             Math.max(0, untilAnsweredMillis - CLOSE_IDLE_BEFORE_ANSWERED_MILLIS));
     long closeIdleToAnsweredMillis =
         Math.min(untilAnsweredMillis - maxIdleMillis, CLOSE_IDLE_BEFORE_ANSWERED_MILLIS);
-    front.drain(loop, maxIdleMillis, untilStopReadingMillis(closeIdleToAnsweredMillis), onDrained);
+    front.drain(
+        loop,
+        maxIdleMillis,
+        untilStopReadingMillis(closeIdleToAnsweredMillis),
+        () -> end(onDrained));
+  }
+
+  private void end(Runnable onDrained) {
+    shutdownLog.ended();
+    onDrained.run();
   }
 
   /**
@@ -150,10 +166,10 @@
   private long beginShutdown() {
     snapshots.enterStage(ProcessState.Stage.DRAINING);
     snapshots.publishState();
-    log.writeLine("event=totals " + dispatcher.recorder().totals());
     long sinceSignalMillis =
         TimeUnit.NANOSECONDS.toMillis(clock.now() - clock.earliestArrivalNanos());
     long untilAnsweredMillis = Math.max(0, maxDrainMillis() - sinceSignalMillis);
+    shutdownLog.begun(0, sinceSignalMillis, untilAnsweredMillis);
     dispatcher.drainBy(clock.now() + TimeUnit.MILLISECONDS.toNanos(untilAnsweredMillis));
     return untilAnsweredMillis;
   }
--- a/engine/src/main/java/shalepaddle/node/Node.java
+++ b/engine/src/main/java/shalepaddle/node/Node.java
@@ -8,6 +8,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
+import java.time.Instant;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ThreadFactory;
@@ -24,6 +25,7 @@
 import shalepaddle.loop.Log;
 import shalepaddle.loop.LogWriter;
 import shalepaddle.loop.LoopClock;
+import shalepaddle.loop.ThreadTimes;
 import shalepaddle.loop.WatchedIoHandler;
 import shalepaddle.model.Observation;
 import shalepaddle.overload.OverloadSnapshot;
@@ -139,17 +141,24 @@
 
   /** Logs the event loop's stalls, and passes stalls and turns to the load balancer. */
   private final class StallListener implements LoopClock.Listener {
+    private final ThreadTimes threadTimes = new ThreadTimes();
+
     @Override
     public void onStall(long stallNanos) {
       // Stalls during startup are not logged: loading and compiling classes causes many.
       if (stallNanos > MIN_LOGGED_STALL_NANOS && isListening) {
-        log.writeLine("event loop stalled for " + stallNanos / 1_000_000 + " ms");
+        log.writeLine(
+            "event loop stalled for "
+                + TimeUnit.NANOSECONDS.toMillis(stallNanos)
+                + " ms"
+                + threadTimes.describeSinceSample(clock.now()));
       }
       balancer.recordStall(stallNanos);
     }
 
     @Override
     public void onTurnEnd(long startedAtNanos, long now) {
+      threadTimes.sample(now);
       balancer.recordLoopTurn(startedAtNanos, now);
     }
 
@@ -277,6 +286,7 @@
 
   /** Drains the node; returns when all requests are answered, or after a bounded time. */
   void drain() {
+    log.writeRareLine("event=shutdown_requested at=" + Instant.now());
     boolean isSuccessorReady = hotRestart != null && hotRestart.isSuccessorReady();
     loop.execute(
         () -> {
