A stopping node keeps no connection open for further requests

Cause: every connection was kept open for new requests until 0.45 s before the last answer is due, so that each client that was answered at once sent the next request into whatever held the node up.

Now nothing is kept open but what was taken and what a client may be taking: idle connections are ended at once, others right after their last response, new ones are accepted for 0.5 s after the signal and ended after their first response, and from 0.55 s on nothing is read. With a successor idle connections stay for 0.5 s (1 s before), as it gets the clients little by little. This holds for any order of signal, stall, request, answer and kill, since no step waits for a later one: what a stall finds is what was already taken, or was sent on a connection whose end its client could not see yet. The times count from the thread that gets the signal, not from the turn that handles it. The look for a successor is made on a thread of its own, 50 ms at most. A listener that is bound after its shutdown is closed. While nothing is read, a client's close is still noticed, without which no retry of a request in flight would be sent.

--- a/daemon/src/test/java/shalepaddle/daemon/KilledWhileDrainingIT.java
+++ b/daemon/src/test/java/shalepaddle/daemon/KilledWhileDrainingIT.java
@@ -6,9 +6,12 @@
 
 import java.nio.file.Path;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** Guards against requests that a stopping node has taken and not answered when it is killed. */
 @Timeout(60)
@@ -18,6 +21,12 @@
   private static final int SERVING_MILLIS = 800;
   private static final int STALL_MILLIS = 600;
 
+  /** Later than the time at which a stopping node reads no more. */
+  private static final int LATE_REJECTION_MILLIS = 700;
+
+  /** How long a node may take new requests after SIGTERM, with delays of a busy test machine. */
+  private static final int MAX_TAKING_MILLIS = 500 + 100;
+
   @TempDir private Path folder;
 
   /** Guards against a shutdown that leaves no trace of what it was waiting for. */
@@ -60,4 +69,56 @@
       assertTrue(requests.size() > CLIENT_COUNT, requests.size() + " requests");
     }
   }
+
+  /** Guards against requests in flight that are given up once nothing more is read. */
+  @Test
+  void retriesRequestsInFlightAfterReadingHasStopped() throws Exception {
+    AtomicInteger treatments = new AtomicInteger();
+    Fleet.AnswerPolicy rejectsOneLate =
+        server ->
+            treatments.getAndIncrement() == 0
+                ? new Fleet.Treatment(LATE_REJECTION_MILLIS, true)
+                : new Fleet.Treatment(5, false);
+    try (RestartTestbed testbed = new RestartTestbed(folder, 3, rejectsOneLate)) {
+      PausableNode node = testbed.startNode();
+      testbed.startClients(1, new RestartClient.Habits(2900, 60, 1), node::address, 4);
+      node.awaitEnd(50);
+      testbed.terminate(node);
+      testbed.killAtEarliestTime(node);
+      RestartClient.Sent first = testbed.stopClients().get(0);
+      assertTrue(testbed.millisAfterSigterm(first.sentNanos()) < 0, testbed.describe(first));
+      assertTrue(
+          testbed.millisAfterSigterm(first.endedNanos()) > MAX_TAKING_MILLIS,
+          testbed.describe(first));
+      assertEquals(
+          RestartClient.Ending.SERVED,
+          first.ending(),
+          () -> testbed.describe(first) + " " + treatments + " attempts");
+    }
+  }
+
+  @ParameterizedTest
+  @CsvSource({"2050, 1500", "2050, 2200", "2050, 700", "2950, 1000", "600, 700"})
+  void takesNothingLateWhenHeldUpUntilKill(int longestDeadlineMillis, int heldUpMillis)
+      throws Exception {
+    try (RestartTestbed testbed = new RestartTestbed(folder, longestDeadlineMillis / 1e3, 0)) {
+      PausableNode node = testbed.startNode();
+      testbed.startClients(CLIENT_COUNT, HABITS, node::address, 1);
+      node.awaitEnd(SERVING_MILLIS);
+      testbed.terminate(node);
+      if (!testbed.awaitEndUntil(node, heldUpMillis)) {
+        node.pause();
+      }
+      testbed.killAtEarliestTime(node);
+      List<RestartClient.Sent> requests = testbed.stopClients();
+      List<String> takenLate =
+          testbed.lost(requests, node).stream()
+              .filter(
+                  request -> testbed.millisAfterSigterm(request.sentNanos()) > MAX_TAKING_MILLIS)
+              .map(testbed::describe)
+              .toList();
+      assertEquals(List.of(), takenLate);
+      assertTrue(requests.size() > CLIENT_COUNT, requests.size() + " requests");
+    }
+  }
 }
--- a/engine/src/main/java/shalepaddle/front/ClientConnections.java
+++ b/engine/src/main/java/shalepaddle/front/ClientConnections.java
@@ -1,6 +1,5 @@
 package shalepaddle.front;
 
-import io.netty.channel.EventLoop;
 import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.LinkedHashMap;
@@ -8,7 +7,6 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.StringJoiner;
-import java.util.concurrent.TimeUnit;
 import shalepaddle.diagnostics.Event;
 import shalepaddle.loop.LoopClock;
 import shalepaddle.sockets.SendQueueTable;
@@ -68,11 +66,6 @@
 
   private static final double NANOS_PER_SECOND = 1e9;
 
-  /** Each step of a drain closes one idle connection plus 1/64 of those that are idle then. */
-  private static final int DRAIN_STEPS = 64;
-
-  private static final long DRAIN_STEP_MILLIS = 1;
-
   /** An idle connection may be closed after this time while many are open. */
   private static final long MIN_IDLE_WHEN_CROWDED_NANOS = 300_000_000L;
 
@@ -121,12 +114,8 @@
   private final Map<Status, LinkedHashMap<ClientHandler, Long>> connectionsByStatus =
       new EnumMap<>(Status.class);
 
+  private final ClientDrain drain;
   private boolean isListenerClosed;
-  private boolean isDraining;
-
-  /** The task to run once a drain has ended all connections; null if there is none. */
-  private Runnable whenDrained;
-
   private long nameCount;
 
   /** Creates an instance without connections. */
@@ -134,6 +123,7 @@
     this.maxConnections = maxConnections;
     this.clock = clock;
     this.sendQueues = new SendQueueTable(clock::activeNanos);
+    this.drain = new ClientDrain(this, clock);
     for (Status status : Status.values()) {
       connectionsByStatus.put(status, new LinkedHashMap<>());
     }
@@ -228,6 +218,7 @@
    */
   public void listenerClosed() {
     isListenerClosed = true;
+    drain.listenerClosed();
   }
 
   /**
@@ -241,27 +232,15 @@
     if (newStatus == Status.AWAITING_RESPONSE) {
       closeIdleIfCrowded();
     }
-    if (isDraining && newStatus == Status.IDLE) {
-      client.endIfNothingUnread(Event.CLOSE_DRAIN, false);
-    }
-  }
-
-  /**
-   * Runs the callback of a drain if all connections are closed. Half-closed connections count as
-   * open: if the process ended before them, requests that their clients are sending would be reset.
-   */
-  private void notifyIfDrained() {
-    if (isDraining && whenDrained != null && connectionCount() == 0) {
-      Runnable callback = whenDrained;
-      whenDrained = null;
-      callback.run();
+    if (newStatus == Status.IDLE) {
+      drain.connectionIdle(client);
     }
   }
 
   /** Removes a connection that was closed in this status. */
   void connectionClosed(ClientHandler client, Status status) {
     connectionsByStatus.get(status).remove(client);
-    notifyIfDrained();
+    drain.notifyIfDrained();
   }
 
   /** The number of connections with a pending response. */
@@ -389,54 +368,27 @@
     return clients;
   }
 
-  /**
-   * Drains all connections. From now on each connection is closed as soon as it becomes idle, right
-   * after its last response. Connections that are idle already are closed after a delay, the
-   * longest idle first: they are the least likely to send a request just as they are closed.
-   *
-   * @param idleCloseDelayMillis the delay until idle connections are closed
-   * @param readStopDelayMillis the further delay until reading stops on all connections, so that
-   *     each closes after the responses that are pending by then
-   * @param onDrained run once when no connection is left
-   */
-  public void drain(
-      EventLoop loop, long idleCloseDelayMillis, long readStopDelayMillis, Runnable onDrained) {
-    isDraining = true;
-    whenDrained = onDrained;
-    notifyIfDrained();
-    if (connectionCount() > 0) {
-      loop.schedule(() -> closeIdleStep(loop), idleCloseDelayMillis, TimeUnit.MILLISECONDS);
-      loop.schedule(
-          () -> clock.runWhenBacklogRead(this::stopReadingOnAll),
-          idleCloseDelayMillis + readStopDelayMillis,
-          TimeUnit.MILLISECONDS);
-    }
+  /** All connections. */
+  List<ClientHandler> all() {
+    List<ClientHandler> clients = new ArrayList<>();
+    connectionsByStatus.values().forEach(inStatus -> clients.addAll(inStatus.keySet()));
+    return clients;
   }
 
   /**
-   * Stops reading on all connections; each closes after its pending responses. Requests that are
-   * read later could be lost when the process is killed; clients send unread requests again to
-   * other nodes.
+   * The connections on which no request is open or about to be sent: idle ones, the longest idle
+   * first, since they are the least likely to send a request just as they are closed, and such that
+   * have been open for some time without one.
    */
-  private void stopReadingOnAll() {
-    for (Status status : Status.values()) {
-      List.copyOf(connectionsByStatus.get(status).keySet()).forEach(ClientHandler::drain);
-    }
+  List<ClientHandler> unneeded() {
+    long now = clock.activeNanos();
+    List<ClientHandler> clients = enteredBefore(Status.IDLE, now, Integer.MAX_VALUE);
+    clients.addAll(enteredBefore(Status.UNUSED, now - MIN_UNUSED_NANOS, Integer.MAX_VALUE));
+    return clients;
   }
 
-  /**
-   * Ends idle connections in steps; a connection with unread bytes is ended after its response.
-   * Between two steps the event loop reads received bytes. Each step closes a fraction of the
-   * remaining connections, so that the number of steps grows only slowly with their number.
-   */
-  private void closeIdleStep(EventLoop loop) {
-    int idleConnections = connectionsByStatus.get(Status.IDLE).size();
-    if (idleConnections > 0) {
-      for (ClientHandler client :
-          enteredBefore(Status.IDLE, clock.activeNanos(), 1 + idleConnections / DRAIN_STEPS)) {
-        client.endIfNothingUnread(Event.CLOSE_DRAIN, false);
-      }
-      loop.schedule(() -> closeIdleStep(loop), DRAIN_STEP_MILLIS, TimeUnit.MILLISECONDS);
-    }
+  /** The end of all connections in a shutdown. */
+  ClientDrain drain() {
+    return drain;
   }
 }
--- a/engine/src/main/java/shalepaddle/front/ClientFront.java
+++ b/engine/src/main/java/shalepaddle/front/ClientFront.java
@@ -108,15 +108,22 @@
   }
 
   /**
-   * Ends all connections, each after its pending responses; see {@link ClientConnections#drain}.
+   * From now on ends each connection after its pending responses; see {@link ClientDrain}.
    *
-   * @param idleCloseDelayMillis the delay until idle connections are closed
-   * @param readStopDelayMillis the further delay until reading stops on all connections
-   * @param onDrained run once when no connection is left
+   * @param onDrained run once when the listener is closed and no connection is left
    */
-  public void drain(
-      EventLoop loop, long idleCloseDelayMillis, long readStopDelayMillis, Runnable onDrained) {
-    clients.drain(loop, idleCloseDelayMillis, readStopDelayMillis, onDrained);
+  public void drain(Runnable onDrained) {
+    clients.drain().begin(onDrained);
+  }
+
+  /** Ends the connections on which no request is open, after a delay; called in a drain. */
+  public void endUnneededAfter(EventLoop loop, long delayMillis) {
+    clients.drain().endUnneededAfter(loop, delayMillis);
+  }
+
+  /** Stops reading on all connections after a delay; called in a drain, without a listener. */
+  public void stopReadingAfter(EventLoop loop, long delayMillis) {
+    clients.drain().stopReadingAfter(loop, delayMillis);
   }
 
   /** Changes the limit; connections beyond it stay open. */
--- a/engine/src/main/java/shalepaddle/front/ClientHandler.java
+++ b/engine/src/main/java/shalepaddle/front/ClientHandler.java
@@ -351,7 +351,8 @@
   void drain() {
     if (!isClosing()) {
       state = State.STOPPED_READING;
-      readControl.stop();
+      // Retries need to know that the client is still connected.
+      readControl.watch();
       halfCloseIfAllAnswered();
     }
   }
--- a/engine/src/main/java/shalepaddle/front/ClientListener.java
+++ b/engine/src/main/java/shalepaddle/front/ClientListener.java
@@ -1,5 +1,6 @@
 package shalepaddle.front;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import java.io.IOException;
 import java.nio.channels.ServerSocketChannel;
@@ -118,6 +119,9 @@
   private static final class Connection extends TcpConnection {
     private final Backlog backlog;
 
+    /** Whether only the end of the stream is read, and no bytes. */
+    private boolean isWatched;
+
     Connection(ClientListener parent, SocketChannel socket) {
       super(parent, socket);
       backlog = parent.backlog;
@@ -126,6 +130,18 @@
     private int unreadBytes() throws IOException {
       return javaChannel().socket().getInputStream().available();
     }
+
+    /**
+     * While the connection is only watched, reads nothing before unread bytes, and stops polling.
+     */
+    @Override
+    protected int doReadBytes(ByteBuf bytes) throws Exception {
+      if (isWatched && unreadBytes() > 0) {
+        config().setAutoRead(false);
+        return 0;
+      }
+      return super.doReadBytes(bytes);
+    }
   }
 
   /**
@@ -139,6 +155,16 @@
         : polledNanos;
   }
 
+  /**
+   * Sets whether only the end of the client's stream is read, not its bytes. If bytes arrive, the
+   * connection is no longer polled. No effect on channels that are no sockets.
+   */
+  static void setWatched(Channel channel, boolean isWatched) {
+    if (channel instanceof Connection connection) {
+      connection.isWatched = isWatched;
+    }
+  }
+
   /**
    * Whether the kernel has unread bytes of this connection. Queries the kernel, since the event
    * loop may not have polled the connection for some time.
--- a/engine/src/main/java/shalepaddle/front/InboundBuffer.java
+++ b/engine/src/main/java/shalepaddle/front/InboundBuffer.java
@@ -41,7 +41,12 @@
     DELIVER,
     /** Bytes are read and buffered. */
     BUFFER,
-    /** No bytes are read; bytes that were buffered before are delivered. */
+    /**
+     * No bytes are read, but the client's close is, unless bytes are unread before it. Bytes that
+     * were buffered before are delivered.
+     */
+    WATCH,
+    /** Nothing is read; bytes that were buffered before are delivered. */
     SUSPEND
   }
 
@@ -127,6 +132,7 @@
       return;
     }
     mode = newMode;
+    ClientListener.setWatched(ctx.channel(), mode == Mode.WATCH);
     updateReading();
     if (hasBytes() && mode != Mode.BUFFER) {
       ctx.executor().execute(this::deliverBuffered);
@@ -186,6 +192,9 @@
     arrivalTracker.readComplete(isSocketEmpty);
     closeDetection.readComplete(isSocketEmpty);
     readsInTurn = 0;
+    if (mode == Mode.WATCH) {
+      setPolled(isReading);
+    }
     if (!hasBytes()) {
       ctx.fireChannelReadComplete();
     }
--- a/engine/src/main/java/shalepaddle/front/ReadControl.java
+++ b/engine/src/main/java/shalepaddle/front/ReadControl.java
@@ -37,10 +37,12 @@
    */
   private static final long MAX_PAUSE_WITH_FULL_BUFFER_NANOS = 50_000_000L;
 
-  /** Whether commands are read. Changes from READING to STOPPED to DISCARDING, never back. */
+  /** Whether commands are read. The states follow one another and never go back. */
   private enum State {
     /** Commands are read, unless suspended for one of the reasons in the class comment. */
     READING,
+    /** No more commands are read, but the client's close is while responses are pending. */
+    WATCHING,
     /** No more bytes are read; bytes that were read before are still delivered. */
     STOPPED,
     /** Bytes are read and discarded, so that the kernel does not reset the closing connection. */
@@ -115,6 +117,7 @@
     inboundBuffer.setMode(
         switch (state) {
           case READING -> mayDeliver ? InboundBuffer.Mode.DELIVER : InboundBuffer.Mode.BUFFER;
+          case WATCHING -> InboundBuffer.Mode.WATCH;
           case STOPPED -> InboundBuffer.Mode.SUSPEND;
           case DISCARDING -> InboundBuffer.Mode.DELIVER;
         });
@@ -132,6 +135,12 @@
     }
   }
 
+  /** Reads no more commands; the client's close is still noticed unless bytes are before it. */
+  void watch() {
+    state = State.WATCHING;
+    update();
+  }
+
   /** Stops reading for good. */
   void stop() {
     state = State.STOPPED;
--- a/engine/src/main/java/shalepaddle/node/GracefulShutdown.java
+++ b/engine/src/main/java/shalepaddle/node/GracefulShutdown.java
@@ -12,20 +12,37 @@
 import shalepaddle.loop.LoopClock;
 
 /**
- * Ends a node's service at a planned restart, without a successor ({@link #drain}) or with one that
- * has taken over ({@link #handOver}). Owns the client listener, in order to stop it.
+ * Ends a node's service at a planned restart. Owns the client listener, in order to stop it.
  *
  * <p>By the protocol, the platform kills a node no sooner than the longest deadline plus {@link
- * #KILL_AFTER_DEADLINE_MILLIS} after the signal that ends it. All requests are to be answered
- * {@link #ANSWERED_BEFORE_KILL_MILLIS} before that. This time counts from the signal, even if the
- * process was stalled when the signal came. The earlier steps of a drain are timers that start when
- * the loop handles the signal.
+ * #KILL_AFTER_DEADLINE_MILLIS} after the signal that ends it, and sends new connections for a short
+ * time after it. Clients use a connection for as long as it stays open. The process can be held up
+ * at any moment until the kill, and then loses one request for each connection that is open for
+ * requests. Therefore nothing is kept open but what has been taken, and what a client may be
+ * taking:
+ *
+ * <ul>
+ *   <li>idle connections are ended at once, others right after their last response;
+ *   <li>new connections are accepted for {@link #MAX_USE_MILLIS} after the signal, and each is
+ *       ended after its first response;
+ *   <li>if a successor accepts new connections, none are accepted, and idle ones stay open for that
+ *       time: the successor gets the clients little by little;
+ *   <li>{@link #FIRST_REQUEST_MILLIS} later nothing more is read;
+ *   <li>requests that were read keep their deadlines, limited to {@link
+ *       #ANSWERED_BEFORE_KILL_MILLIS} before the earliest kill.
+ * </ul>
+ *
+ * <p>The time for which connections are used counts from the latest moment at which the signal can
+ * have come, that of the last answer from the earliest one; a stalled process can't know it better.
  *
  * <p>Used on the event loop only.
  */
 final class GracefulShutdown {
-  /** How long after the start of a planned restart the platform still sends new connections. */
-  private static final long MIN_ACCEPT_MILLIS = 500;
+  /** How long after the signal connections are accepted; the platform sends them for 400 ms. */
+  private static final long MAX_USE_MILLIS = 500;
+
+  /** How long after its connection a client sends its first request at the latest. */
+  private static final long FIRST_REQUEST_MILLIS = 50;
 
   /** The minimum time from the longest deadline to the kill by the platform. */
   private static final long KILL_AFTER_DEADLINE_MILLIS = 700;
@@ -33,21 +50,9 @@
   /** The longest deadline that the platform waits for; longer ones are limited to the time left. */
   private static final long MAX_DEADLINE_MILLIS = 3000;
 
-  /** How long idle client connections stay open after another process has taken over. */
-  private static final long MAX_HAND_OVER_IDLE_MILLIS = 1000;
-
   /** All requests are to be answered this long before the kill. */
   private static final long ANSWERED_BEFORE_KILL_MILLIS = 150;
 
-  /** Idle connections are closed from this long before the last response is due. */
-  private static final long CLOSE_IDLE_BEFORE_ANSWERED_MILLIS = 450;
-
-  /**
-   * Reading stops this long before the last response is due, so that the requests that were read
-   * last can be answered.
-   */
-  private static final long STOP_READING_BEFORE_ANSWERED_MILLIS = 80;
-
   private final EventLoop loop;
   private final LoopClock clock;
   private final Dispatcher dispatcher;
@@ -60,6 +65,9 @@
   /** The client listener, null before the node listens. */
   private Channel listener;
 
+  private boolean isBegun;
+  private boolean isAcceptingStopped;
+
   /**
    * Creates the shutdown of one node.
    *
@@ -83,9 +91,15 @@
     this.longestDeadlineSeconds = longestDeadlineSeconds;
   }
 
-  /** Sets the channel that accepts clients, which {@link #stopAccepting} stops. */
+  /**
+   * Sets the channel that accepts clients, which {@link #stopAccepting} stops. If a shutdown has
+   * already stopped accepting, it stops at once.
+   */
   void setListener(Channel channel) {
     listener = channel;
+    if (isAcceptingStopped) {
+      stopAccepting();
+    }
   }
 
   boolean isListening() {
@@ -99,79 +113,76 @@
     return maxDeadlineMillis + KILL_AFTER_DEADLINE_MILLIS - ANSWERED_BEFORE_KILL_MILLIS;
   }
 
-  /** Drains without a successor, as {@link LoadBalancer#drain} describes. */
-  void drain(Runnable onDrained) {
-    long untilAnsweredMillis = beginShutdown();
-    long untilCloseIdleMillis =
-        Math.max(MIN_ACCEPT_MILLIS, untilAnsweredMillis - CLOSE_IDLE_BEFORE_ANSWERED_MILLIS);
-    // After a stall, timers run only once the backlog of the stall has been accepted and read.
-    dispatcher
-        .timers()
-        .runNoEarlierThan(
-            TimeUnit.MILLISECONDS.toNanos(MIN_ACCEPT_MILLIS),
-            () -> {
-              stopAccepting();
-              shutdownLog.step("accepting_stopped");
-            });
-    dispatcher
-        .timers()
-        .runNoEarlierThan(
-            TimeUnit.MILLISECONDS.toNanos(untilCloseIdleMillis),
-            () -> {
-              log.writeLine("draining " + front.connectionCount() + " client connections");
-              front.drain(
-                  loop,
-                  0,
-                  untilStopReadingMillis(untilAnsweredMillis - untilCloseIdleMillis),
-                  () -> end(onDrained));
-            });
+  /**
+   * Drains, as {@link LoadBalancer#drain} describes. Idempotent.
+   *
+   * @param requestedNanos when the process learned of the signal, by the loop's clock
+   */
+  void drain(long requestedNanos, Runnable onDrained) {
+    if (begin(requestedNanos, onDrained)) {
+      front.endUnneededAfter(loop, 0);
+      // After a stall, timers run only once the backlog of the stall has been accepted and read.
+      dispatcher.timers().runNoEarlierThan(nanosUntilEndOfUse(requestedNanos), this::endAccepting);
+    }
   }
 
-  /** Drains after a successor has taken over, as {@link LoadBalancer#handOver} describes. */
-  void handOver(Runnable onDrained) {
-    long untilAnsweredMillis = beginShutdown();
+  /**
+   * Drains as {@link LoadBalancer#handOver} describes, or continues a drain that has begun.
+   *
+   * @param requestedNanos when the process learned of the signal, by the loop's clock
+   */
+  void handOver(long requestedNanos, Runnable onDrained) {
+    log.writeRareLine("handing over " + front.connectionCount() + " client connections");
+    if (!begin(requestedNanos, onDrained)) {
+      endAccepting();
+      return;
+    }
     stopAccepting();
-    log.writeLine("handing over " + front.connectionCount() + " client connections");
-    // With short deadlines, the process may be killed before MAX_HAND_OVER_IDLE_MILLIS have passed.
-    long maxIdleMillis =
-        Math.min(
-            MAX_HAND_OVER_IDLE_MILLIS,
-            Math.max(0, untilAnsweredMillis - CLOSE_IDLE_BEFORE_ANSWERED_MILLIS));
-    long closeIdleToAnsweredMillis =
-        Math.min(untilAnsweredMillis - maxIdleMillis, CLOSE_IDLE_BEFORE_ANSWERED_MILLIS);
+    long idleMillis = TimeUnit.NANOSECONDS.toMillis(nanosUntilEndOfUse(requestedNanos));
+    front.endUnneededAfter(loop, idleMillis);
+    front.stopReadingAfter(loop, idleMillis + FIRST_REQUEST_MILLIS);
+  }
+
+  private boolean begin(long requestedNanos, Runnable onDrained) {
+    if (isBegun) {
+      return false;
+    }
+    isBegun = true;
+    snapshots.enterStage(ProcessState.Stage.DRAINING);
+    snapshots.publishState();
+    log.writeRareLine("draining " + front.connectionCount() + " client connections");
+    limitDeadlines(requestedNanos);
     front.drain(
-        loop,
-        maxIdleMillis,
-        untilStopReadingMillis(closeIdleToAnsweredMillis),
-        () -> end(onDrained));
+        () -> {
+          shutdownLog.ended();
+          onDrained.run();
+        });
+    return true;
   }
 
-  private void end(Runnable onDrained) {
-    shutdownLog.ended();
-    onDrained.run();
+  private long nanosUntilEndOfUse(long requestedNanos) {
+    long endNanos = requestedNanos + TimeUnit.MILLISECONDS.toNanos(MAX_USE_MILLIS);
+    return Math.max(0, endNanos - clock.now());
   }
 
-  /**
-   * The time in ms until reading stops, if all requests are to be answered within the given time.
-   */
-  private static long untilStopReadingMillis(long untilAnsweredMillis) {
-    return Math.max(0, untilAnsweredMillis - STOP_READING_BEFORE_ANSWERED_MILLIS);
+  private void endAccepting() {
+    if (!isAcceptingStopped) {
+      stopAccepting();
+      shutdownLog.step("accepting_stopped");
+      front.stopReadingAfter(loop, FIRST_REQUEST_MILLIS);
+    }
   }
 
-  /**
-   * Publishes the stage, logs the totals and limits the requests' deadlines to the time left.
-   *
-   * @return the milliseconds from now until all requests are to be answered
-   */
-  private long beginShutdown() {
-    snapshots.enterStage(ProcessState.Stage.DRAINING);
-    snapshots.publishState();
-    long sinceSignalMillis =
-        TimeUnit.NANOSECONDS.toMillis(clock.now() - clock.earliestArrivalNanos());
-    long untilAnsweredMillis = Math.max(0, maxDrainMillis() - sinceSignalMillis);
-    shutdownLog.begun(0, sinceSignalMillis, untilAnsweredMillis);
-    dispatcher.drainBy(clock.now() + TimeUnit.MILLISECONDS.toNanos(untilAnsweredMillis));
-    return untilAnsweredMillis;
+  /** Limits the requests' deadlines to the time that is left. */
+  private void limitDeadlines(long requestedNanos) {
+    long now = clock.now();
+    long maxSinceSignalMillis = TimeUnit.NANOSECONDS.toMillis(now - clock.earliestArrivalNanos());
+    long untilAnsweredMillis = Math.max(0, maxDrainMillis() - maxSinceSignalMillis);
+    shutdownLog.begun(
+        TimeUnit.NANOSECONDS.toMillis(now - requestedNanos),
+        maxSinceSignalMillis,
+        untilAnsweredMillis);
+    dispatcher.drainBy(now + TimeUnit.MILLISECONDS.toNanos(untilAnsweredMillis));
   }
 
   /**
@@ -179,11 +190,12 @@
    * still served.
    */
   void stopAccepting() {
-    front.listenerClosed();
+    isAcceptingStopped = true;
     if (listener instanceof ClientListener clientListener) {
       clientListener.stop();
     } else if (listener != null) {
       listener.close();
     }
+    front.listenerClosed();
   }
 }
--- a/engine/src/main/java/shalepaddle/node/LoadBalancer.java
+++ b/engine/src/main/java/shalepaddle/node/LoadBalancer.java
@@ -392,27 +392,31 @@
   }
 
   /**
-   * Drains for a planned restart: accepts connections for as long as the platform sends them, and
-   * serves until shortly before the platform kills the process; then closes each connection as it
-   * becomes idle, and runs the given step when all requests are answered. Deadlines of new requests
-   * are limited to the time that is left.
+   * Drains for a planned restart: ends idle connections at once and each other one after its
+   * pending responses, accepts new ones for as long as the platform sends them, and runs the given
+   * step when all requests are answered. Deadlines of requests are limited to the time that is
+   * left.
    *
-   * <p>Clients that are disconnected early would find no node if the other nodes restart at the
-   * same time. Cost: a restart always takes its full time, even if no request is open.
+   * <p>Cost: a client that finds no other node is not served until this one is started again. If it
+   * were served here meanwhile, its requests would be lost whenever the process is held up until it
+   * is killed.
+   *
+   * @param requestedNanos when the process learned of the restart, by the loop's clock
    */
-  public void drain(Runnable onDrained) {
-    shutdown.drain(onDrained);
+  public void drain(long requestedNanos, Runnable onDrained) {
+    shutdown.drain(requestedNanos, onDrained);
   }
 
   /**
    * Drains after another process of this node has taken over: accepts no more connections, closes
    * each one right after its next response and idle ones after a delay, and runs the given step
-   * when all requests are answered. Takes no longer than needed, since both processes use memory
-   * and connections meanwhile.
+   * when all requests are answered. May be called in a {@link #drain}, which then accepts no more.
+   *
+   * @param requestedNanos when the process learned of the restart, by the loop's clock
    */
-  public void handOver(Runnable onDrained) {
+  public void handOver(long requestedNanos, Runnable onDrained) {
     monitor.closeIdleConnections();
-    shutdown.handOver(onDrained);
+    shutdown.handOver(requestedNanos, onDrained);
   }
 
   /** Closes at once: answers every open request, and accepts and sends nothing new. */
--- a/engine/src/main/java/shalepaddle/node/Node.java
+++ b/engine/src/main/java/shalepaddle/node/Node.java
@@ -52,6 +52,9 @@
   /** The step of {@link #awaitDrained(long)}: a stall of any length counts as one step at most. */
   private static final long DRAIN_STEP_MILLIS = 50;
 
+  /** How long a drain waits for the look for a successor. */
+  private static final long MAX_SUCCESSOR_CHECK_MILLIS = 50;
+
   /** How long the end of the process waits for the reader of its log. */
   private static final long MAX_LOG_FLUSH_MILLIS = 200;
 
@@ -286,16 +289,17 @@
 
   /** Drains the node; returns when all requests are answered, or after a bounded time. */
   void drain() {
+    long requestedNanos = clock.now();
     log.writeRareLine("event=shutdown_requested at=" + Instant.now());
-    boolean isSuccessorReady = hotRestart != null && hotRestart.isSuccessorReady();
-    loop.execute(
-        () -> {
-          if (isSuccessorReady) {
-            balancer.handOver(drainedLatch::countDown);
-          } else {
-            balancer.drain(drainedLatch::countDown);
-          }
-        });
+    Runnable handOver = () -> balancer.handOver(requestedNanos, drainedLatch::countDown);
+    Runnable drain = () -> balancer.drain(requestedNanos, drainedLatch::countDown);
+    CountDownLatch successorChecked = new CountDownLatch(1);
+    if (hotRestart != null) {
+      checkSuccessor(handOver, successorChecked);
+      awaitSuccessorCheck(successorChecked);
+    }
+    // A hand-over that has begun is not changed by this.
+    loop.execute(drain);
     try {
       boolean isDrainComplete = awaitDrained(balancer.maxDrainMillis() + LINGER_MILLIS);
       log.writeLine(
@@ -308,6 +312,32 @@
     }
   }
 
+  /**
+   * Hands over if a successor is ready, on a thread of its own: a drain must not wait for the disk
+   * on which the processes of a node publish their states.
+   */
+  private void checkSuccessor(Runnable handOver, CountDownLatch checked) {
+    Thread thread =
+        new Thread(
+            () -> {
+              if (hotRestart.isSuccessorReady()) {
+                loop.execute(handOver);
+              }
+              checked.countDown();
+            },
+            "successor-check");
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  private static void awaitSuccessorCheck(CountDownLatch checked) {
+    try {
+      checked.await(MAX_SUCCESSOR_CHECK_MILLIS, TimeUnit.MILLISECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   /**
    * Waits until all requests are answered; returns false after {@code timeoutMillis} in which the
    * process ran. The time is counted in steps, and a stall of any length counts as one step at
--- a/engine/src/main/java/shalepaddle/node/ShutdownLog.java
+++ b/engine/src/main/java/shalepaddle/node/ShutdownLog.java
@@ -57,9 +57,10 @@
     write(step, "");
   }
 
-  /** Logs the end, after which nothing is open. */
+  /** Logs the end, after which nothing is open, and the totals with why requests were refused. */
   void ended() {
     hasEnded = true;
+    log.writeRareLine("event=totals " + dispatcher.recorder().totals());
     write("ended", "");
   }
 
