--- a/daemon/src/test/java/shalepaddle/daemon/RestartClient.java
+++ b/daemon/src/test/java/shalepaddle/daemon/RestartClient.java
@@ -82,7 +82,11 @@
   private InputStream in;
   private int requestCount;
 
-  /** Creates a client; the front names the address of the next connection. */
+  /**
+   * Creates a client.
+   *
+   * @param front names the address of the next connection, null if there is none now
+   */
   RestartClient(String name, Habits habits, Supplier<InetSocketAddress> front, long seed) {
     this.name = name;
     this.habits = habits;
@@ -127,6 +131,9 @@
 
   private boolean connect() {
     address = front.get();
+    if (address == null) {
+      return false;
+    }
     socket = new Socket();
     try {
       socket.connect(address, CONNECT_TIMEOUT_MILLIS);
--- a/daemon/src/test/java/shalepaddle/daemon/RestartTestbed.java
+++ b/daemon/src/test/java/shalepaddle/daemon/RestartTestbed.java
@@ -163,6 +163,10 @@
     node.awaitEnd(10_000);
   }
 
+  long killedNanos() {
+    return killedNanos;
+  }
+
   boolean wasKilled() {
     return wasKilled;
   }
