--- a/daemon/src/test/java/shalepaddle/daemon/DeployFile.java
+++ b/daemon/src/test/java/shalepaddle/daemon/DeployFile.java
@@ -20,18 +20,18 @@
   /** Returns a builder for the named command, with standard error merged into its output. */
   static ProcessBuilder commandBuilder(String commandName) throws IOException {
     return new ProcessBuilder(List.of("/bin/sh", "-c", shellCommand(commandName)))
-        .directory(ROOT.toAbsolutePath().toFile())
         .redirectErrorStream(true);
   }
 
-  /** Returns the shell command line of the named command. */
+  /** Returns the shell command line of the named command, run in the deployment's folder. */
   static String shellCommand(String commandName) throws IOException {
     String line =
         Files.readAllLines(ROOT.resolve("deploy/balancer.toml")).stream()
             .filter(text -> text.startsWith(commandName + " = "))
             .findFirst()
             .orElseThrow();
-    return line.substring(line.indexOf('"') + 1, line.lastIndexOf('"'));
+    String command = line.substring(line.indexOf('"') + 1, line.lastIndexOf('"'));
+    return "cd '" + ROOT.toAbsolutePath() + "' && " + command;
   }
 
   /** Returns a free port of the loopback address. */
--- a/daemon/src/test/java/shalepaddle/daemon/PausableNode.java
+++ b/daemon/src/test/java/shalepaddle/daemon/PausableNode.java
@@ -89,6 +89,12 @@
     Files.writeString(configFile, newConfig);
   }
 
+  /** Replaces the configuration file by one whose reader waits for ever. */
+  FullPipe hangConfig() throws IOException, InterruptedException {
+    Files.delete(configFile);
+    return new FullPipe(configFile.getParent(), configFile.getFileName().toString());
+  }
+
   /** Waits until the node listens; returns false if the node ends first or 30 s have passed. */
   boolean awaitListening() throws InterruptedException {
     long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(START_TIMEOUT_MILLIS);
--- a/daemon/src/test/java/shalepaddle/daemon/RestartClient.java
+++ b/daemon/src/test/java/shalepaddle/daemon/RestartClient.java
@@ -30,7 +30,9 @@
     /** The connection ended before the answer. */
     CONNECTION_ENDED,
     /** No answer came until long after the deadline. */
-    NO_ANSWER
+    NO_ANSWER,
+    /** The client left since it had no answer to an earlier request on the connection. */
+    ABANDONED
   }
 
   /**
@@ -200,12 +202,16 @@
       ending = Ending.CONNECTION_ENDED;
     }
     for (Sent request : batch) {
-      if (ending != Ending.CONNECTION_ENDED && ending != Ending.NO_ANSWER) {
+      if (ending == Ending.NO_ANSWER) {
+        ending = Ending.ABANDONED;
+      } else if (ending != Ending.CONNECTION_ENDED && ending != Ending.ABANDONED) {
         ending = readAnswer(request);
       }
       record(request, ending);
     }
-    return ending != Ending.CONNECTION_ENDED && ending != Ending.NO_ANSWER;
+    return ending != Ending.CONNECTION_ENDED
+        && ending != Ending.NO_ANSWER
+        && ending != Ending.ABANDONED;
   }
 
   private Sent newRequest(long now, boolean isFirst) {
--- a/daemon/src/test/java/shalepaddle/daemon/RestartTestbed.java
+++ b/daemon/src/test/java/shalepaddle/daemon/RestartTestbed.java
@@ -72,14 +72,20 @@
 
   /** Starts a node and waits until it listens. */
   PausableNode startNode() throws Exception {
-    PausableNode node = new PausableNode(folder, "node" + nodes.size(), this::config);
-    nodes.add(node);
+    PausableNode node = beginStart();
     if (!node.awaitListening()) {
       throw new IOException("the node does not listen on " + node.address());
     }
     return node;
   }
 
+  /** Starts a node without waiting until it listens. */
+  PausableNode beginStart() throws Exception {
+    PausableNode node = new PausableNode(folder, "node" + nodes.size(), this::config);
+    nodes.add(node);
+    return node;
+  }
+
   /** Starts a node again at the address of another one that has ended; does not wait for it. */
   PausableNode startAgain(PausableNode ended) throws Exception {
     PausableNode node =
@@ -90,7 +96,7 @@
 
   /** Starts a node whose output is a pipe that is full and that nobody reads. */
   PausableNode startNodeWithFullLog() throws Exception {
-    FullPipe pipe = new FullPipe(folder);
+    FullPipe pipe = new FullPipe(folder, "log");
     PausableNode node =
         new PausableNode(
             folder,
--- a/daemon/src/test/java/shalepaddle/daemon/UpgradeIT.java
+++ b/daemon/src/test/java/shalepaddle/daemon/UpgradeIT.java
@@ -229,6 +229,25 @@
     }
   }
 
+  /** Guards against a shutdown that begins only once the folder of the processes has answered. */
+  @Test
+  void drainsInTimeWhenSharedFolderDoesNotAnswer() throws Exception {
+    try (Platform platform = new Platform();
+        Fleet fleet = new Fleet(4, Integer.MAX_VALUE, 300)) {
+      Node node = start(platform, fleet).awaitReady();
+      try (FullPipe unreadable = new FullPipe(folder, "shalepaddle-999999.process");
+          ClosedLoopClients clients = new ClosedLoopClients(platform.address(), 60, 1_000_000)) {
+        clients.awaitEnd(1000);
+        clients.endOnConnectionFailure();
+        node.process().sendSignal(Platform.SIGTERM);
+        assertTrue(node.process().awaitEnd(2700), "the process did not end by itself");
+        assertTrue(clients.awaitEnd(20_000));
+        clients.assertAllAnswered(0, fleet);
+        assertTrue(readLog(0).endsWith("drained\n"), readLog(0) + unreadable.file());
+      }
+    }
+  }
+
   private static String format(InetSocketAddress address) {
     return address.getAddress().getHostAddress() + ":" + address.getPort();
   }
