A stopping node reads the rest of commands that clients are sending

Callers that sent a value slowly while the node stopped reading had the write cut off: a client that is writing can't notice the end of the stream, and sends its last byte to a connection that will never answer.

Now connections on which a command is being received, with bytes of it in the last 0.25 s, are read until it is complete, then no further; 80 ms before the last answer is due all reading stops. A client that is silent within its command is ended as others are.

--- a/daemon/src/test/java/shalepaddle/daemon/ShutdownSweepIT.java
+++ b/daemon/src/test/java/shalepaddle/daemon/ShutdownSweepIT.java
@@ -5,10 +5,12 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.io.OutputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -101,6 +103,34 @@
     }
   }
 
+  /** Guards against cutting off a client that sends a value slowly, and can't know of the end. */
+  @Test
+  void answersWriteThatClientIsSendingSlowly() throws Exception {
+    try (RestartTestbed testbed =
+        new RestartTestbed(folder, 2.05, server -> new Fleet.Treatment(5, false))) {
+      PausableNode node = testbed.startNode();
+      try (Socket client = connect(node)) {
+        OutputStream out = client.getOutputStream();
+        int pieces = 30;
+        byte[] piece = new byte[2000];
+        String head = "ms key %d Oslow Pc=put,d=2000\r\n".formatted(pieces * piece.length);
+        out.write(head.getBytes(StandardCharsets.US_ASCII));
+        for (int i = 0; i < pieces; i++) {
+          out.write(piece);
+          TimeUnit.MILLISECONDS.sleep(50);
+          if (i == 2) {
+            testbed.terminate(node);
+          }
+        }
+        out.write("\r\n".getBytes(StandardCharsets.US_ASCII));
+        assertEquals("HD Oslow c1", Fleet.readLine(client.getInputStream()));
+        assertEndsWithin(testbed, client, 2500);
+      }
+      testbed.killAtEarliestTime(node);
+      assertFalse(testbed.wasKilled());
+    }
+  }
+
   private static Socket connect(PausableNode node) throws IOException {
     Socket socket = new Socket(node.address().getAddress(), node.address().getPort());
     socket.setSoTimeout(10_000);
--- a/engine/src/main/java/shalepaddle/front/ClientDrain.java
+++ b/engine/src/main/java/shalepaddle/front/ClientDrain.java
@@ -21,6 +21,9 @@
   /** The time until the next step if no connection can be ended now. */
   private static final long IDLE_STEP_MILLIS = 10;
 
+  /** A client that has sent nothing for this time is not about to complete its command. */
+  private static final long MAX_COMMAND_SILENCE_NANOS = 250_000_000L;
+
   private final ClientConnections connections;
   private final LoopClock clock;
   private boolean isBegun;
@@ -57,13 +60,30 @@
   }
 
   /**
-   * Stops reading after a delay, see {@link #stopReading}.
+   * Stops reading after a delay, except from clients that are sending a command.
    *
    * @param delayMillis the time that clients of new connections have for their first request
    */
   void stopReadingAfter(EventLoop loop, long delayMillis) {
     loop.schedule(
-        () -> clock.runWhenBacklogRead(this::stopReading), delayMillis, TimeUnit.MILLISECONDS);
+        () -> clock.runWhenBacklogRead(() -> stopReadingStep(loop)),
+        delayMillis,
+        TimeUnit.MILLISECONDS);
+  }
+
+  /** Stops reading on all connections after a delay. */
+  void stopReadingOnAllAfter(EventLoop loop, long delayMillis) {
+    loop.schedule(
+        () -> clock.runWhenBacklogRead(() -> connections.all().forEach(ClientHandler::drain)),
+        delayMillis,
+        TimeUnit.MILLISECONDS);
+  }
+
+  /** Called when a connection has handled all complete commands that were read. */
+  void commandsRead(ClientHandler client) {
+    if (isReadingStopped && !client.isMidCommand()) {
+      client.drain();
+    }
   }
 
   /** Ends a connection that has just become idle. */
@@ -86,13 +106,28 @@
   }
 
   /**
-   * Stops reading on all connections; each closes after its pending responses. Requests that are
-   * read later could be lost when the process is killed; clients send unread requests again to
-   * other nodes.
+   * Stops reading on connections, each of which closes after its pending responses. Requests that
+   * are read later could be lost when the process is killed; clients send unread requests again to
+   * other nodes. A command that a client is sending is read first: the client may not notice the
+   * end of the connection before it has sent all.
    */
-  private void stopReading() {
+  private void stopReadingStep(EventLoop loop) {
     isReadingStopped = true;
-    connections.all().forEach(ClientHandler::drain);
+    long sinceNanos = clock.activeNanos() - MAX_COMMAND_SILENCE_NANOS;
+    boolean isAnySending = false;
+    for (ClientHandler client : connections.all()) {
+      if (client.isSendingCommand(sinceNanos)) {
+        isAnySending = true;
+      } else {
+        client.drain();
+      }
+    }
+    if (isAnySending) {
+      loop.schedule(
+          () -> clock.runWhenBacklogRead(() -> stopReadingStep(loop)),
+          IDLE_STEP_MILLIS,
+          TimeUnit.MILLISECONDS);
+    }
   }
 
   /**
--- a/engine/src/main/java/shalepaddle/front/ClientFront.java
+++ b/engine/src/main/java/shalepaddle/front/ClientFront.java
@@ -121,11 +121,16 @@
     clients.drain().endUnneededAfter(loop, delayMillis);
   }
 
-  /** Stops reading on all connections after a delay; called in a drain, without a listener. */
+  /** See {@link ClientDrain#stopReadingAfter}; called in a drain, without a listener. */
   public void stopReadingAfter(EventLoop loop, long delayMillis) {
     clients.drain().stopReadingAfter(loop, delayMillis);
   }
 
+  /** Stops reading on all connections after a delay; called in a drain. */
+  public void stopReadingOnAllAfter(EventLoop loop, long delayMillis) {
+    clients.drain().stopReadingOnAllAfter(loop, delayMillis);
+  }
+
   /** Changes the limit; connections beyond it stay open. */
   public void setMaxConnections(int connections) {
     clients.setMaxConnections(connections);
--- a/engine/src/main/java/shalepaddle/front/ClientHandler.java
+++ b/engine/src/main/java/shalepaddle/front/ClientHandler.java
@@ -191,6 +191,7 @@
     receivedAtActiveNanos = clock.activeNanos();
     responses.endBatch();
     updateStatus();
+    connections.drain().commandsRead(this);
   }
 
   @Override
@@ -349,7 +350,7 @@
    * requests that this node has not read again to another node.
    */
   void drain() {
-    if (!isClosing()) {
+    if (state == State.OPEN) {
       state = State.STOPPED_READING;
       // Retries need to know that the client is still connected.
       readControl.watch();
@@ -382,6 +383,16 @@
         .schedule(readControl::discard, HALF_CLOSE_SUSPEND_MILLIS, TimeUnit.MILLISECONDS);
   }
 
+  /** Whether a part of a command was received. */
+  boolean isMidCommand() {
+    return decoder.isMidCommand();
+  }
+
+  /** Whether a part of a command was received, with bytes of it since the given active time. */
+  boolean isSendingCommand(long activeNanos) {
+    return isMidCommand() && receivedAtActiveNanos - activeNanos > 0;
+  }
+
   /** Whether bytes of the client were not handled as commands yet, also such that are unread. */
   boolean hasUnhandledBytes() {
     return inboundBuffer.hasBytes()
--- a/engine/src/main/java/shalepaddle/node/GracefulShutdown.java
+++ b/engine/src/main/java/shalepaddle/node/GracefulShutdown.java
@@ -27,7 +27,8 @@
  *       ended after its first response;
  *   <li>if a successor accepts new connections, none are accepted, and idle ones stay open for that
  *       time: the successor gets the clients little by little;
- *   <li>{@link #FIRST_REQUEST_MILLIS} later nothing more is read;
+ *   <li>{@link #FIRST_REQUEST_MILLIS} later nothing more is read, but the rest of commands that
+ *       clients are sending just then;
  *   <li>requests that were read keep their deadlines, limited to {@link
  *       #ANSWERED_BEFORE_KILL_MILLIS} before the earliest kill.
  * </ul>
@@ -53,6 +54,9 @@
   /** All requests are to be answered this long before the kill. */
   private static final long ANSWERED_BEFORE_KILL_MILLIS = 150;
 
+  /** Commands that clients are still sending are read until this long before the last answer. */
+  private static final long STOP_READING_BEFORE_ANSWERED_MILLIS = 80;
+
   private final EventLoop loop;
   private final LoopClock clock;
   private final Dispatcher dispatcher;
@@ -183,6 +187,8 @@
         maxSinceSignalMillis,
         untilAnsweredMillis);
     dispatcher.drainBy(now + TimeUnit.MILLISECONDS.toNanos(untilAnsweredMillis));
+    front.stopReadingOnAllAfter(
+        loop, Math.max(0, untilAnsweredMillis - STOP_READING_BEFORE_ANSWERED_MILLIS));
   }
 
   /**
