A long stall logs the loop's stack and usage; histories tell that a read is held

Reports of late answers showed stalls of 0.7 to 2.5 s in which the event loop's thread ran, and not what it ran; and a read that waited 0.14 s before the stall without a reason in its history.

A thread looks at the loop every 100 ms: while a turn lasts, it samples the loop's stack; after a stall of over 250 ms it logs event=loop_stall with user and system time, page faults, allocated bytes, collections, the machine's steal and the stacks. app_loop_stalls{reason} counts stalls by length, request_held stands in histories. All of it happens outside the loop, whose turn gained one volatile write.

--- a/core/src/main/java/shalepaddle/policy/RequestRouter.java
+++ b/core/src/main/java/shalepaddle/policy/RequestRouter.java
@@ -241,6 +241,7 @@
 
   private void hold(double now, PendingRequest pendingRequest) {
     pendingRequest.hold();
+    actions.held(pendingRequest.id());
     double untilSeconds =
         pendingRequest.arrivedAtSeconds()
             + pendingRequest.serviceClass().latencyObjectiveSeconds() * MAX_HOLD_RATIO;
--- a/core/src/main/java/shalepaddle/policy/RoutingActions.java
+++ b/core/src/main/java/shalepaddle/policy/RoutingActions.java
@@ -13,6 +13,9 @@
    */
   void send(String requestId, long serverId, double withinSeconds);
 
+  /** Notes that a request waits for a fetch before its next attempt; nothing is to be done. */
+  default void held(String requestId) {}
+
   /** Cancels one attempt of a request, by its number. */
   void cancel(String requestId, int attempt);
 
--- a/daemon/src/test/java/shalepaddle/daemon/ScriptedFleet.java
+++ b/daemon/src/test/java/shalepaddle/daemon/ScriptedFleet.java
@@ -80,6 +80,11 @@
     return node.process().isAlive();
   }
 
+  /** What the node has logged so far. */
+  List<String> logLines() throws IOException {
+    return node.logLines();
+  }
+
   @Override
   public void close() throws IOException {
     node.close();
--- a/engine/src/main/java/shalepaddle/diagnostics/Event.java
+++ b/engine/src/main/java/shalepaddle/diagnostics/Event.java
@@ -11,6 +11,8 @@
  */
 public enum Event {
   REQUEST_READ(null),
+  /** A read waits for the fetch of its key, or for capacity for its own fetch. */
+  REQUEST_HELD(null),
   ATTEMPT_FIRST("attempts"),
   ATTEMPT_RETRY("attempts"),
   ATTEMPT_HEDGE("attempts"),
@@ -50,6 +52,12 @@
   CLIENT_CLOSE_FOUND_LATE("client_disconnects"),
   LOOP_STALLED(null),
 
+  /** A stall of the event loop, by its length. */
+  STALL_UNDER_100_MS("loop_stalls"),
+  STALL_UNDER_300_MS("loop_stalls"),
+  STALL_UNDER_1_S("loop_stalls"),
+  STALL_OF_1_S_OR_MORE("loop_stalls"),
+
   /**
    * Reading from a connection, or delivering bytes that were read, is suspended after a protocol
    * error of the client.
@@ -113,6 +121,7 @@
     "RESULT_",
     "REPLY_",
     "SERVER_CLOSE_",
+    "STALL_",
     "READ_PAUSE_",
     "REJECTED_",
     "CLIENT_CLOSE_",
--- a/engine/src/main/java/shalepaddle/engine/Dispatcher.java
+++ b/engine/src/main/java/shalepaddle/engine/Dispatcher.java
@@ -343,6 +343,7 @@
   /** Handles a stall of the event loop that has just ended, of the given length. */
   public void onStall(long stallNanos) {
     recorder.record(Event.LOOP_STALLED, null, stallRange(stallNanos));
+    recorder.count(stallLength(stallNanos), 1);
     policy.post((router, now) -> router.onEventLoopStall(stallNanos / 1e9));
   }
 
@@ -357,6 +358,16 @@
     return stallNanos < 1_000_000_000L ? "0.3 to 1 s" : "over 1 s";
   }
 
+  private static Event stallLength(long stallNanos) {
+    if (stallNanos < 100_000_000L) {
+      return Event.STALL_UNDER_100_MS;
+    }
+    if (stallNanos < 300_000_000L) {
+      return Event.STALL_UNDER_300_MS;
+    }
+    return stallNanos < 1_000_000_000L ? Event.STALL_UNDER_1_S : Event.STALL_OF_1_S_OR_MORE;
+  }
+
   /** The number of requests that have not ended or have an attempt in flight. */
   public int openRequests() {
     return exchanges.open().size() + (reads == null ? 0 : reads.size());
--- a/engine/src/main/java/shalepaddle/engine/PolicyActions.java
+++ b/engine/src/main/java/shalepaddle/engine/PolicyActions.java
@@ -70,6 +70,11 @@
     attempts.send(exchange, server, writeWithinSeconds);
   }
 
+  @Override
+  public void held(String requestId) {
+    recorder.record(Event.REQUEST_HELD, requestId);
+  }
+
   @Override
   public void cancel(String requestId, int attemptNumber) {
     Exchange exchange = exchanges.find(requestId);
--- a/engine/src/main/java/shalepaddle/node/Node.java
+++ b/engine/src/main/java/shalepaddle/node/Node.java
@@ -25,6 +25,7 @@
 import shalepaddle.loop.Log;
 import shalepaddle.loop.LogWriter;
 import shalepaddle.loop.LoopClock;
+import shalepaddle.loop.StallReporter;
 import shalepaddle.loop.ThreadTimes;
 import shalepaddle.loop.WatchedIoHandler;
 import shalepaddle.model.Observation;
@@ -145,6 +146,7 @@
   /** Logs the event loop's stalls, and passes stalls and turns to the load balancer. */
   private final class StallListener implements LoopClock.Listener {
     private final ThreadTimes threadTimes = new ThreadTimes();
+    private final StallReporter reporter = new StallReporter(Ticker.systemTicker(), log);
 
     @Override
     public void onStall(long stallNanos) {
@@ -155,6 +157,7 @@
                 + TimeUnit.NANOSECONDS.toMillis(stallNanos)
                 + " ms"
                 + threadTimes.describeSinceSample(clock.now()));
+        reporter.stallEnded(stallNanos);
       }
       balancer.recordStall(stallNanos);
     }
@@ -162,6 +165,7 @@
     @Override
     public void onTurnEnd(long startedAtNanos, long now) {
       threadTimes.sample(now);
+      reporter.turnEnded(now);
       balancer.recordLoopTurn(startedAtNanos, now);
     }
 
