Send queues are read by a thread of their own, not on the event loop

Clients of a node got their answers up to 1.2 s late, all at once, when one client read a large value slowly, or left while its large write was out, on a machine with many sockets of other processes.

Cause: the event loop read and parsed /proc/net/tcp, which lists the sockets of the whole machine, TIME_WAIT too.

Now a thread reads the tables, parses them without allocation, keeps only the rows that were asked for, stops when it has them and rests twice as long as it read. Its answers come later, so both users have a third state, "not known yet": - WriteProgress counts a client's silence only up to the latest look that has an answer: a slow reader is not blamed for the node's not knowing, one that has stopped is let go as soon as it is known. Connections ask together twice a second. - DeliveryCheck (out of DeliveryTracker) looks at once, which is a proof if the write has arrived, and again after 40 ms. What is not known after 0.1 s counts as not arrived, and the connection is reset: the write must not begin later than that.

No turn of the loop does work that grows with the table any more: it makes one object a question.

One look of WriteProgressTest comes a second later: figures were up to 1 s old before as well, in the table that it did not use.

--- a/engine/src/main/java/shalepaddle/front/ClientConnections.java
+++ b/engine/src/main/java/shalepaddle/front/ClientConnections.java
@@ -9,7 +9,7 @@
 import java.util.StringJoiner;
 import shalepaddle.diagnostics.Event;
 import shalepaddle.loop.LoopClock;
-import shalepaddle.sockets.SendQueueTable;
+import shalepaddle.sockets.SendQueues;
 
 /**
  * All client connections by their status. Limits their number, closes connections that have not
@@ -105,7 +105,7 @@
 
   private int maxConnections;
   private final LoopClock clock;
-  private final SendQueueTable sendQueues;
+  private final SendQueues sendQueues;
 
   /**
    * The connections that have each status, in the order in which they entered the status, with the
@@ -119,10 +119,10 @@
   private long nameCount;
 
   /** Creates an instance without connections. */
-  public ClientConnections(int maxConnections, LoopClock clock) {
+  public ClientConnections(int maxConnections, LoopClock clock, SendQueues sendQueues) {
     this.maxConnections = maxConnections;
     this.clock = clock;
-    this.sendQueues = new SendQueueTable(clock::activeNanos);
+    this.sendQueues = sendQueues;
     this.drain = new ClientDrain(this, clock);
     for (Status status : Status.values()) {
       connectionsByStatus.put(status, new LinkedHashMap<>());
@@ -135,7 +135,7 @@
   }
 
   /** What the kernel has not delivered to clients. */
-  SendQueueTable sendQueues() {
+  SendQueues sendQueues() {
     return sendQueues;
   }
 
--- a/engine/src/main/java/shalepaddle/front/ClientFront.java
+++ b/engine/src/main/java/shalepaddle/front/ClientFront.java
@@ -9,6 +9,7 @@
 import shalepaddle.engine.MemoryBudget;
 import shalepaddle.loop.LoopClock;
 import shalepaddle.overload.DegradationPolicy;
+import shalepaddle.sockets.SendQueues;
 
 /**
  * The front of one client protocol: sets up each connection that a listener accepts, or closes it
@@ -37,6 +38,7 @@
    *
    * @param maxConnections the maximum number of open connections
    * @param degradation the limits under the present load
+   * @param sendQueues tells what has not arrived at clients
    * @param memory limits the bytes that wait on all connections together
    */
   public ClientFront(
@@ -44,6 +46,7 @@
       ClientCodec codec,
       int maxConnections,
       Supplier<DegradationPolicy> degradation,
+      SendQueues sendQueues,
       MemoryBudget memory) {
     this.inboundBudget = memory.newPart(memory.totalBytes() / INBOUND_DIVISOR);
     this.responseBudget = memory.newPart(memory.totalBytes() / RESPONSE_DIVISOR);
@@ -51,7 +54,7 @@
     this.dispatcher = dispatcher;
     this.codec = codec;
     this.fairReadScheduler = new FairReadScheduler(degradation);
-    this.clients = new ClientConnections(maxConnections, dispatcher.clock());
+    this.clients = new ClientConnections(maxConnections, dispatcher.clock(), sendQueues);
   }
 
   @Override
--- a/engine/src/main/java/shalepaddle/front/ClientHandler.java
+++ b/engine/src/main/java/shalepaddle/front/ClientHandler.java
@@ -98,8 +98,7 @@
     this.decoder = decoder;
     this.inboundBuffer = inboundBuffer;
     this.name = connections.nextName();
-    this.writeProgress =
-        new WriteProgress(clock::activeNanos, connections.sendQueues()::unacknowledgedBytes);
+    this.writeProgress = new WriteProgress(clock::activeNanos, connections.sendQueues());
     this.responses =
         new ResponseQueue(
             this,
--- a/engine/src/main/java/shalepaddle/node/LoadBalancer.java
+++ b/engine/src/main/java/shalepaddle/node/LoadBalancer.java
@@ -137,6 +137,7 @@
             new MetaServerCodec(memory),
             descriptors.serverLimits(settings.limits(), connectionsPerServer),
             memory,
+            transport.sendQueues(),
             dispatcher);
     members = new MemberTracker(pools, dispatcher, nodeClock, log);
     exclusions = new OperatorExclusions(pools, dispatcher, nodeClock, log, this::publishState);
@@ -148,6 +149,7 @@
             codec,
             descriptors.maxClientConnections(),
             overload::degradationPolicy,
+            transport.sendQueues(),
             memory);
     snapshots =
         new SnapshotPublisher(dispatcher, overload, front, pools, exclusions, members, memory);
--- a/engine/src/main/java/shalepaddle/node/SocketTransport.java
+++ b/engine/src/main/java/shalepaddle/node/SocketTransport.java
@@ -11,6 +11,8 @@
 import io.netty.util.internal.PlatformDependent;
 import java.nio.channels.ServerSocketChannel;
 import shalepaddle.front.ClientListener;
+import shalepaddle.sockets.KernelSendQueues;
+import shalepaddle.sockets.SendQueues;
 import shalepaddle.sockets.TcpConnection;
 
 /** TCP sockets on the Java platform's selector, with one pool of direct buffers. Thread-safe. */
@@ -44,6 +46,11 @@
     allocator.trimCurrentThreadCache();
   }
 
+  @Override
+  public SendQueues sendQueues() {
+    return KernelSendQueues.system();
+  }
+
   @Override
   public Bootstrap connector(EventLoop loop) {
     return new Bootstrap()
--- a/engine/src/main/java/shalepaddle/node/Transport.java
+++ b/engine/src/main/java/shalepaddle/node/Transport.java
@@ -5,6 +5,7 @@
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.channel.EventLoop;
 import java.nio.channels.ServerSocketChannel;
+import shalepaddle.sockets.SendQueues;
 
 /** Opens and accepts a node's connections, over sockets or within one process. */
 public interface Transport {
@@ -24,6 +25,11 @@
   /** Releases as much as possible of the memory that the allocator caches for later buffers. */
   default void releaseCachedBuffers() {}
 
+  /** What has not arrived at the peers of connections. */
+  default SendQueues sendQueues() {
+    return SendQueues.NONE;
+  }
+
   /** A bootstrap for connections to cache servers and to discovery. */
   Bootstrap connector(EventLoop loop);
 
--- a/engine/src/main/java/shalepaddle/node/Warmup.java
+++ b/engine/src/main/java/shalepaddle/node/Warmup.java
@@ -35,6 +35,7 @@
 import shalepaddle.overload.DegradationPolicy;
 import shalepaddle.overload.OverloadConfig;
 import shalepaddle.overload.OverloadControl;
+import shalepaddle.sockets.SendQueues;
 import shalepaddle.upstream.ServerPool;
 import shalepaddle.upstream.ServerPools;
 
@@ -141,7 +142,12 @@
         new ServerPool.Limits(
             2, 2 * SERVER_COUNT, 2, TimeUnit.MINUTES.toNanos(1), TimeUnit.SECONDS.toNanos(1));
     return new ServerPools(
-        connector, new MetaServerCodec(), limits, new MemoryBudget(VALUE_MEMORY_BYTES), dispatcher);
+        connector,
+        new MetaServerCodec(),
+        limits,
+        new MemoryBudget(VALUE_MEMORY_BYTES),
+        SendQueues.NONE,
+        dispatcher);
   }
 
   /** An endpoint list of several cache servers at one address. */
@@ -171,7 +177,12 @@
     MetaClientCodec codec =
         new MetaClientCodec(valueMemory, config.settings(), RequestAdmission.ADMIT_ALL);
     return new ClientFront(
-        dispatcher, codec, CONCURRENT_REQUESTS, () -> DegradationPolicy.CALM, valueMemory);
+        dispatcher,
+        codec,
+        CONCURRENT_REQUESTS,
+        () -> DegradationPolicy.CALM,
+        SendQueues.NONE,
+        valueMemory);
   }
 
   private void listen(LocalAddress address, ChannelHandler connectionHandler)
--- a/engine/src/main/java/shalepaddle/upstream/DeliveryTracker.java
+++ b/engine/src/main/java/shalepaddle/upstream/DeliveryTracker.java
@@ -5,7 +5,7 @@
 import shalepaddle.engine.Attempt;
 import shalepaddle.loop.LoopClock;
 import shalepaddle.loop.Timers;
-import shalepaddle.sockets.SendQueueTable;
+import shalepaddle.sockets.SendQueues;
 
 /**
  * Tracks which requests on one connection may not have arrived at the server, though the kernel has
@@ -16,11 +16,9 @@
   /** So many bytes arrive at any server, even if it does not read: less than Linux's minimum. */
   private static final int MIN_RECEIVE_BUFFER_BYTES = 2048;
 
-  /** The time in which a request that the server reads arrives there and is acknowledged. */
-  private static final long DELIVERY_NANOS = 40_000_000L;
-
-  private final SendQueueTable sendQueues;
+  private final SendQueues sendQueues;
   private final Timers timers;
+  private final LoopClock clock;
   private final WriteStallGuard stallGuard;
   private Channel channel;
 
@@ -30,9 +28,10 @@
   /** The position up to which the server has read the stream, as its replies show. */
   private long readBytes;
 
-  DeliveryTracker(SendQueueTable sendQueues, Timers timers, LoopClock clock) {
+  DeliveryTracker(SendQueues sendQueues, Timers timers, LoopClock clock) {
     this.sendQueues = sendQueues;
     this.timers = timers;
+    this.clock = clock;
     this.stallGuard = new WriteStallGuard(clock);
   }
 
@@ -59,16 +58,18 @@
     readBytes = Math.max(readBytes, attempt.streamEnd());
   }
 
-  /** Runs a task if the last byte of a request has not arrived at the server within some time. */
+  /** Runs a task soon, unless the last byte of a request has arrived at the server by then. */
   void runIfNotDelivered(Attempt attempt, Runnable task) {
     if (mayBeUndelivered(attempt)) {
-      timers.runNoEarlierThan(
-          DELIVERY_NANOS,
-          () -> {
-            if (channel.isActive() && isUndelivered(attempt)) {
-              task.run();
-            }
-          });
+      new DeliveryCheck(
+              channel,
+              sendQueues,
+              timers,
+              clock,
+              writtenBytes - attempt.streamEnd(),
+              () -> mayBeUndelivered(attempt),
+              task)
+          .start();
     }
   }
 
@@ -85,9 +86,4 @@
   private boolean mayBeUndelivered(Attempt attempt) {
     return attempt.streamEnd() - readBytes > MIN_RECEIVE_BUFFER_BYTES;
   }
-
-  private boolean isUndelivered(Attempt attempt) {
-    return mayBeUndelivered(attempt)
-        && sendQueues.unacknowledgedBytes(channel) > writtenBytes - attempt.streamEnd();
-  }
 }
--- a/engine/src/main/java/shalepaddle/upstream/ServerPool.java
+++ b/engine/src/main/java/shalepaddle/upstream/ServerPool.java
@@ -14,7 +14,7 @@
 import shalepaddle.model.Outcome;
 import shalepaddle.model.ServerEntry;
 import shalepaddle.sockets.ConnectCompletion;
-import shalepaddle.sockets.SendQueueTable;
+import shalepaddle.sockets.SendQueues;
 
 /**
  * This process's connections to one cache server, and the attempts that wait for a connection.
@@ -46,7 +46,7 @@
   private final ServerCodec codec;
   private final Limits limits;
   private final ConnectionBudget budget;
-  private final SendQueueTable sendQueues;
+  private final SendQueues sendQueues;
   private final MemoryBudget replyBudget;
   private final Dispatcher dispatcher;
   private final LoopClock clock;
@@ -73,7 +73,7 @@
       ServerCodec codec,
       Limits limits,
       ConnectionBudget budget,
-      SendQueueTable sendQueues,
+      SendQueues sendQueues,
       MemoryBudget replyBudget,
       Dispatcher dispatcher,
       SocketAddress address) {
--- a/engine/src/main/java/shalepaddle/upstream/ServerPools.java
+++ b/engine/src/main/java/shalepaddle/upstream/ServerPools.java
@@ -13,16 +13,13 @@
 import shalepaddle.membership.MemberList;
 import shalepaddle.model.Outcome;
 import shalepaddle.model.ServerEntry;
-import shalepaddle.sockets.SendQueueTable;
+import shalepaddle.sockets.SendQueues;
 
 /**
  * The connection pools of all cache servers, by the server ids that the policy uses. Called only on
  * the event loop.
  */
 public final class ServerPools implements Upstream {
-  /** How long the kernel's send queues are used before they are looked up again. */
-  private static final long MAX_SEND_QUEUE_AGE_NANOS = 10_000_000L;
-
   private final Map<Long, ServerPool> pools = new HashMap<>();
 
   /** Servers that an operator has excluded, including those that are not listed now. */
@@ -35,7 +32,7 @@
   private final ServerCodec codec;
   private final ServerPool.Limits limits;
   private final ConnectionBudget budget;
-  private final SendQueueTable sendQueues;
+  private final SendQueues sendQueues;
   private final MemoryBudget replyBudget;
   private final Dispatcher dispatcher;
 
@@ -46,6 +43,7 @@
    * @param codec the protocol of the servers
    * @param limits the limits of the connections to each server
    * @param replyBudget limits the replies that are received in part
+   * @param sendQueues tells what has not arrived at servers
    * @param dispatcher is notified of the outcomes of attempts
    */
   public ServerPools(
@@ -53,6 +51,7 @@
       ServerCodec codec,
       ServerPool.Limits limits,
       MemoryBudget replyBudget,
+      SendQueues sendQueues,
       Dispatcher dispatcher) {
     this.replyBudget = replyBudget;
     this.bootstrap = bootstrap;
@@ -60,7 +59,7 @@
     this.limits = limits;
     this.dispatcher = dispatcher;
     this.budget = new ConnectionBudget(limits.maxConnections());
-    this.sendQueues = new SendQueueTable(dispatcher.clock()::activeNanos, MAX_SEND_QUEUE_AGE_NANOS);
+    this.sendQueues = sendQueues;
   }
 
   /**
--- a/engine/src/test/java/shalepaddle/front/WriteProgressTest.java
+++ b/engine/src/test/java/shalepaddle/front/WriteProgressTest.java
@@ -1,14 +1,19 @@
 package shalepaddle.front;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.embedded.EmbeddedChannel;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import shalepaddle.sockets.SendQueues;
 
 class WriteProgressTest {
   private static final long MAX_STALL_NANOS = 10_000_000_000L;
@@ -37,16 +42,26 @@
   private final LimitedChannel channel = new LimitedChannel();
   private long now;
   private long unacknowledgedBytes;
+
+  /** Whether lookups that begin now have no result. */
+  private boolean isKernelSlow;
+
   private WriteProgress progress;
 
   @BeforeEach
   void writeValue() {
-    progress = new WriteProgress(() -> now, ignored -> unacknowledgedBytes);
+    progress = new WriteProgress(() -> now, ignored -> lookUp());
     progress.setChannel(channel);
     progress.onWrite(VALUE_BYTES);
     channel.writeAndFlush(Unpooled.buffer(VALUE_BYTES).writeZero(VALUE_BYTES));
   }
 
+  private CompletableFuture<SendQueues.Reading> lookUp() {
+    return isKernelSlow
+        ? new CompletableFuture<>()
+        : CompletableFuture.completedFuture(new SendQueues.Reading(unacknowledgedBytes, now));
+  }
+
   @AfterEach
   void close() {
     channel.close();
@@ -99,10 +114,50 @@
     assertTrue(progress.hasUntakenBytes());
     assertTrue(progress.hasUntakenBytes());
     unacknowledgedBytes = 0;
+    now += SECOND;
     assertFalse(progress.hasUntakenBytes());
     assertFalse(isStalledAfter(100 * SECOND));
   }
 
+  /** Guards against blaming a client for the time in which the kernel tells nothing of it. */
+  @Test
+  void clientIsNotStalledWhileKernelHasNotTold() {
+    unacknowledgedBytes = 100_000;
+    channel.accept(100_000);
+    assertFalse(isStalledAfter(SECOND));
+    isKernelSlow = true;
+    for (int second = 0; second < 100; second++) {
+      assertFalse(isStalledAfter(SECOND));
+      assertTrue(progress.hasUntakenBytes());
+    }
+  }
+
+  /** What is found late counts from when the kernel was asked, so the client has its whole time. */
+  @Test
+  void silenceCountsUpToLatestLookup() {
+    unacknowledgedBytes = 100_000;
+    channel.accept(100_000);
+    assertFalse(isStalledAfter(SECOND));
+    List<CompletableFuture<SendQueues.Reading>> lookups = new ArrayList<>();
+    progress =
+        new WriteProgress(
+            () -> now,
+            ignored -> {
+              lookups.add(new CompletableFuture<>());
+              return lookups.get(lookups.size() - 1);
+            });
+    progress.setChannel(channel);
+    progress.onWrite(VALUE_BYTES);
+    assertFalse(isStalledAfter(SECOND));
+    assertFalse(isStalledAfter(SECOND));
+    assertFalse(isStalledAfter(20 * SECOND));
+    lookups.get(0).complete(new SendQueues.Reading(100_000, now));
+    assertFalse(isStalledAfter(SECOND));
+    lookups.get(1).complete(new SendQueues.Reading(100_000, now));
+    assertTrue(isStalledAfter(SECOND));
+    assertEquals(3, lookups.size());
+  }
+
   @Test
   void shortResponseCountsAsTakenOnceSent() {
     channel.accept(VALUE_BYTES);
--- a/engine/src/test/java/shalepaddle/node/ClientReadControlTest.java
+++ b/engine/src/test/java/shalepaddle/node/ClientReadControlTest.java
@@ -25,6 +25,7 @@
 import shalepaddle.front.RequestAdmission;
 import shalepaddle.loop.LoopClock;
 import shalepaddle.overload.DegradationPolicy;
+import shalepaddle.sockets.SendQueues;
 
 /** Pauses in reading from a client: after its early retries, and while its connection drains. */
 class ClientReadControlTest {
@@ -143,7 +144,12 @@
               new MemoryBudget(1000), rig.config("").settings(), rejectingAdmission);
       front =
           new ClientFront(
-              dispatcher, codec, 8, () -> DegradationPolicy.CALM, new MemoryBudget(1 << 16));
+              dispatcher,
+              codec,
+              8,
+              () -> DegradationPolicy.CALM,
+              SendQueues.NONE,
+              new MemoryBudget(1 << 16));
       client = new DuplexEmbeddedChannel(engine, front);
     }
   }
