The soak of restarts plays slow readers and leaving writers among many sockets

A node had to know what clients and servers have taken only in tests of few sockets, so that a turn of the loop which grows with the sockets of the machine was not seen. The judge is as before.

--- a/daemon/src/test/java/shalepaddle/daemon/Fleet.java
+++ b/daemon/src/test/java/shalepaddle/daemon/Fleet.java
@@ -23,6 +23,11 @@
  * own thread.
  */
 final class Fleet implements Closeable {
+  /** A key whose value is large. */
+  static final String LARGE_KEY = "large";
+
+  private static final int LARGE_VALUE_BYTES = 2_000_000;
+
   private final ServerSocket[] serverSockets;
   private final ServerSocket discoverySocket = createListeningSocket();
   private final AtomicInteger[] servedRequests;
@@ -177,7 +182,9 @@
             continue;
           }
           String id = commandWords[3].substring(1);
-          String answer = "VA 5 O" + id + " h1\r\nvalue\r\n";
+          String value =
+              commandWords[1].equals(LARGE_KEY) ? "v".repeat(LARGE_VALUE_BYTES) : "value";
+          String answer = "VA " + value.length() + " O" + id + " h1\r\n" + value + "\r\n";
           if (commandWords[0].equals("ms")) {
             in.readNBytes(Integer.parseInt(commandWords[2]) + 2);
             answer = "HD O" + id + " c1\r\n";
--- a/daemon/src/test/java/shalepaddle/daemon/RestartSoakIT.java
+++ b/daemon/src/test/java/shalepaddle/daemon/RestartSoakIT.java
@@ -17,9 +17,9 @@
 
 /**
  * Restarts nodes that are held up at any moment, drawn by seed, with the earliest SIGKILL:
- * deadlines, clients, hung servers, a crowd, half-sent requests and signals in series. Clients use
- * their connections until these end. The build plays a few seeds; {@code -Dsoak.first=1
- * -Dsoak.seeds=50} plays more.
+ * deadlines, clients, hung servers, a crowd, half-sent requests and signals in series; beside many
+ * sockets of others, slow readers and leaving writers. Clients use their connections until these
+ * end. The build plays a few seeds; {@code -Dsoak.first=1 -Dsoak.seeds=50} plays more.
  */
 class RestartSoakIT {
   private static final long FIRST_SEED = Long.getLong("soak.first", 800);
@@ -31,6 +31,15 @@
   private static final int MAX_PAUSES = 3;
   private static final int CROWD_CONNECTIONS = 150;
   private static final int MAX_HALF_SENT = 5;
+  private static final int SOCKETS_OF_OTHERS = 30_000;
+
+  /** The kernel keeps closed sockets for a minute, in which so many seeds are played. */
+  private static final int SEEDS_PER_MINUTE = 10;
+
+  private static final int MAX_DISTURBING_CLIENTS = 3;
+
+  /** The time in which the node looks at what its clients have taken, once at least. */
+  private static final int DISTURBED_MILLIS = 1000;
 
   @TempDir private Path folder;
 
@@ -38,6 +47,9 @@
   void losesOnlyWhatWasTakenBeforeNodeWasHeldUpUntilKill() throws Exception {
     List<String> violations = new ArrayList<>();
     for (long seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed++) {
+      if ((seed - FIRST_SEED) % SEEDS_PER_MINUTE == 0) {
+        ClosedSockets.leave(SOCKETS_OF_OTHERS);
+      }
       Path seedFolder = Files.createDirectory(folder.resolve("seed-" + seed));
       for (String violation : new Run(seed).play(seedFolder)) {
         violations.add("seed " + seed + ": " + violation);
@@ -85,13 +97,26 @@
             seed + 1);
         node.awaitEnd(SERVING_MILLIS);
         List<Signal> signals = drawSignals(testbed.killMillis());
+        int slowReaders = random.nextInt(1 + MAX_DISTURBING_CLIENTS);
+        int leavingWriters = random.nextInt(1 + MAX_DISTURBING_CLIENTS);
+        DisturbingClients disturbing = new DisturbingClients(node.address());
+        disturbing.start(slowReaders, leavingWriters);
+        node.awaitEnd(DISTURBED_MILLIS);
+        disturbing.stop();
         Holds holds = send(testbed, node, signals);
         testbed.killAtEarliestTime(node);
         RestartVerdict verdict = new RestartVerdict(testbed, node, holds);
         List<String> violations = verdict.violations(testbed.stopClients());
         System.out.printf(
-            "seed %d, d %.2f, hung %d, crowd %b, %s: %s%n",
-            seed, longestDeadlineSeconds, hungServers, hasCrowd, signals, verdict.summary());
+            "seed %d, d %.2f, hung %d, crowd %b, slow %d, leaving %d, %s: %s%n",
+            seed,
+            longestDeadlineSeconds,
+            hungServers,
+            hasCrowd,
+            slowReaders,
+            leavingWriters,
+            signals,
+            verdict.summary());
         return violations;
       } finally {
         for (Socket socket : silentConnections) {
