Statistics of the kernel are read by one class

ThreadTimes, ThreadUsage and ProcessorUse each opened a file of the kernel, kept it open, and split its first line. StatisticsFile does that for all three; what they tell is unchanged. ThreadTimes looked at its statistics in a buffer of its own, and a line that is too short is now 'nothing known' in each of them.

--- a/engine/src/main/java/shalepaddle/loop/ThreadTimes.java
+++ b/engine/src/main/java/shalepaddle/loop/ThreadTimes.java
@@ -1,8 +1,5 @@
 package shalepaddle.loop;
 
-import java.io.IOException;
-import java.io.RandomAccessFile;
-import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -16,24 +13,22 @@
 public final class ThreadTimes {
   private static final String STATISTICS_PATH = "/proc/thread-self/schedstat";
 
-  private static final int MAX_STATISTICS_BYTES = 128;
+  private static final int RUNNING_NANOS_INDEX = 0;
+  private static final int WAITING_NANOS_INDEX = 1;
 
   /** The minimum time between samples, each of which costs two system calls. */
   private static final long MIN_INTERVAL_NANOS = 25_000_000L;
 
-  private final byte[] buffer = new byte[MAX_STATISTICS_BYTES];
+  /** The open file, null before the first sample. */
+  private StatisticsFile file;
 
-  /** The open file, null before the first sample or if the system has none. */
-  private RandomAccessFile file;
-
-  private boolean isOpened;
   private long sampledAtNanos;
   private long runningNanos;
   private long waitingNanos;
 
   /** Takes a sample if the last one is old enough. */
   public void sample(long nowNanos) {
-    if (!isOpened || nowNanos - sampledAtNanos >= MIN_INTERVAL_NANOS) {
+    if (file == null || nowNanos - sampledAtNanos >= MIN_INTERVAL_NANOS) {
       read(nowNanos);
     }
   }
@@ -46,7 +41,7 @@
     long beforeNanos = sampledAtNanos;
     long runningBeforeNanos = runningNanos;
     long waitingBeforeNanos = waitingNanos;
-    if (!isOpened || !read(nowNanos)) {
+    if (file == null || !read(nowNanos)) {
       return "";
     }
     long running = runningNanos - runningBeforeNanos;
@@ -61,25 +56,16 @@
   }
 
   private boolean read(long nowNanos) {
-    try {
-      if (!isOpened) {
-        isOpened = true;
-        file = new RandomAccessFile(STATISTICS_PATH, "r");
-      }
-      if (file == null) {
-        return false;
-      }
-      file.seek(0);
-      int bytes = file.read(buffer);
-      String[] fields =
-          new String(buffer, 0, Math.max(0, bytes), StandardCharsets.US_ASCII).trim().split(" ", 0);
-      runningNanos = Long.parseLong(fields[0]);
-      waitingNanos = Long.parseLong(fields[1]);
-      sampledAtNanos = nowNanos;
-      return true;
-    } catch (IOException | RuntimeException e) {
-      // The system has no such statistics.
+    if (file == null) {
+      file = new StatisticsFile(STATISTICS_PATH);
+    }
+    String[] words = file.wordsBehind('\n');
+    if (words.length <= WAITING_NANOS_INDEX) {
       return false;
     }
+    runningNanos = Long.parseLong(words[RUNNING_NANOS_INDEX]);
+    waitingNanos = Long.parseLong(words[WAITING_NANOS_INDEX]);
+    sampledAtNanos = nowNanos;
+    return true;
   }
 }
--- a/engine/src/main/java/shalepaddle/loop/ThreadUsage.java
+++ b/engine/src/main/java/shalepaddle/loop/ThreadUsage.java
@@ -1,11 +1,8 @@
 package shalepaddle.loop;
 
 import com.sun.management.ThreadMXBean;
-import java.io.IOException;
-import java.io.RandomAccessFile;
 import java.lang.management.GarbageCollectorMXBean;
 import java.lang.management.ManagementFactory;
-import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 
 /**
@@ -19,7 +16,6 @@
 final class ThreadUsage {
   private static final String THREAD_PATH = "/proc/thread-self/stat";
   private static final String MACHINE_PATH = "/proc/stat";
-  private static final int MAX_STATISTICS_BYTES = 1024;
   private static final int TICK_MILLIS = 10;
 
   // Fields of the thread's statistics behind its name in parentheses.
@@ -32,9 +28,8 @@
   private static final int STEAL_TICKS_INDEX = 7;
 
   private final long threadId = Thread.currentThread().getId();
-  private final RandomAccessFile threadFile = open(THREAD_PATH);
-  private final RandomAccessFile machineFile = open(MACHINE_PATH);
-  private final byte[] buffer = new byte[MAX_STATISTICS_BYTES];
+  private final StatisticsFile threadFile = new StatisticsFile(THREAD_PATH);
+  private final StatisticsFile machineFile = new StatisticsFile(MACHINE_PATH);
 
   /** The last sample, null before the first. */
   private Values values;
@@ -72,15 +67,6 @@
     return new ThreadUsage();
   }
 
-  private static RandomAccessFile open(String path) {
-    try {
-      return new RandomAccessFile(path, "r");
-    } catch (IOException e) {
-      // The system has no such statistics.
-      return null;
-    }
-  }
-
   /** Takes a sample. */
   void sample() {
     values = read();
@@ -92,21 +78,13 @@
   }
 
   void close() {
-    try {
-      if (threadFile != null) {
-        threadFile.close();
-      }
-      if (machineFile != null) {
-        machineFile.close();
-      }
-    } catch (IOException e) {
-      // Nothing is left to be read from them.
-    }
+    threadFile.close();
+    machineFile.close();
   }
 
   private Values read() {
-    String[] thread = fieldsOf(threadFile, ')');
-    String[] machine = fieldsOf(machineFile, 'u');
+    String[] thread = threadFile.wordsBehind(')');
+    String[] machine = machineFile.wordsBehind('u');
     long collections = 0;
     long collectionMillis = 0;
     for (GarbageCollectorMXBean collector : ManagementFactory.getGarbageCollectorMXBeans()) {
@@ -130,22 +108,6 @@
         : 0;
   }
 
-  /** The fields behind the first line's last occurrence of a character; empty if unknown. */
-  private String[] fieldsOf(RandomAccessFile file, char before) {
-    if (file == null) {
-      return new String[0];
-    }
-    try {
-      file.seek(0);
-      int bytes = file.read(buffer);
-      String text = new String(buffer, 0, Math.max(0, bytes), StandardCharsets.ISO_8859_1);
-      String line = text.lines().findFirst().orElse("");
-      return line.substring(line.lastIndexOf(before) + 1).trim().split("\\s+", 0);
-    } catch (IOException e) {
-      return new String[0];
-    }
-  }
-
   private static long number(String[] fields, int index) {
     try {
       return index < fields.length ? Long.parseLong(fields[index]) : 0;
--- a/engine/src/main/java/shalepaddle/node/ProcessorUse.java
+++ b/engine/src/main/java/shalepaddle/node/ProcessorUse.java
@@ -1,9 +1,7 @@
 package shalepaddle.node;
 
-import java.io.IOException;
-import java.io.RandomAccessFile;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import shalepaddle.loop.StatisticsFile;
 
 /**
  * Measures the fraction of its cores that this process uses. On Linux it reads a file that stays
@@ -20,8 +18,8 @@
   /** Linux's statistics of this process, with times in ticks of 10 ms. */
   private static final String STAT_PATH = "/proc/self/stat";
 
-  /** The open file, shared by all instances in the process; null if the system has no such file. */
-  private static final RandomAccessFile STAT_FILE = openStatFile();
+  /** The open file, shared by all instances in the process. */
+  private static final StatisticsFile STAT_FILE = new StatisticsFile(STAT_PATH);
 
   private static final long TICK_NANOS = 10_000_000L;
 
@@ -32,7 +30,6 @@
   private static final int SYSTEM_TIME_INDEX = 12;
 
   private final double cores;
-  private final byte[] buffer = new byte[1024];
   private long lastReadAtNanos;
   private long lastUsedNanos = -1;
   private double lastUsedRatio = Double.NaN;
@@ -42,33 +39,17 @@
     this.cores = Math.max(0.01, cores);
   }
 
-  private static RandomAccessFile openStatFile() {
-    try {
-      return new RandomAccessFile(STAT_PATH, "r");
-    } catch (IOException e) {
-      // The system is not Linux: usedNanos() asks ProcessHandle instead.
-      return null;
-    }
-  }
-
   /** The processor time that this process has used, in nanoseconds; -1 if unknown. */
   long usedNanos() {
-    if (STAT_FILE == null) {
+    if (!STAT_FILE.exists()) {
       return ProcessHandle.current().info().totalCpuDuration().map(Duration::toNanos).orElse(-1L);
     }
-    try {
-      int byteCount;
-      synchronized (STAT_FILE) {
-        STAT_FILE.seek(0);
-        byteCount = STAT_FILE.read(buffer);
-      }
-      String line = new String(buffer, 0, Math.max(0, byteCount), StandardCharsets.ISO_8859_1);
-      String[] fields = line.substring(line.lastIndexOf(')') + 2).split(" ", 0);
-      return (Long.parseLong(fields[USER_TIME_INDEX]) + Long.parseLong(fields[SYSTEM_TIME_INDEX]))
-          * TICK_NANOS;
-    } catch (IOException | RuntimeException e) {
+    String[] words = STAT_FILE.wordsBehind(')');
+    if (words.length <= SYSTEM_TIME_INDEX) {
       return -1;
     }
+    return (Long.parseLong(words[USER_TIME_INDEX]) + Long.parseLong(words[SYSTEM_TIME_INDEX]))
+        * TICK_NANOS;
   }
 
   /**
